--- /dev/null
+++ b/internal/decision/loop/doc.go
@@ -0,0 +1,3 @@
+// Package loop serialises a node's events into its reducer and delivers the
+// effects to those who carry them out.
+package loop
--- /dev/null
+++ b/internal/decision/reducer/attempts.go
@@ -0,0 +1,157 @@
+package reducer
+
+import "time"
+
+// attemptRecord is a guard's memory of one attempt that must run at most once.
+type attemptRecord struct {
+	attempt AttemptID
+	outcome Outcome
+	work    *work
+	answer  *StoredAnswer
+	expires time.Time
+	joined  []WorkID
+}
+
+// attemptMemory is a guard's bounded memory of attempts and their answers.
+type attemptMemory struct {
+	records     map[AttemptID]*attemptRecord
+	expiring    []*attemptRecord
+	answerBytes int
+}
+
+func (m *attemptMemory) init() { m.records = map[AttemptID]*attemptRecord{} }
+
+// open remembers an attempt that waits to run.
+func (m *attemptMemory) open(w *work, expires time.Time) {
+	m.add(&attemptRecord{attempt: w.attempt, outcome: OutcomeNotRun, work: w, expires: expires})
+}
+
+// forbid remembers that an attempt must never start.
+func (m *attemptMemory) forbid(attempt AttemptID, expires time.Time) {
+	m.add(&attemptRecord{attempt: attempt, outcome: OutcomeNotRun, expires: expires})
+}
+
+func (m *attemptMemory) add(record *attemptRecord) {
+	m.records[record.attempt] = record
+	m.expiring = append(m.expiring, record)
+}
+
+func (m *attemptMemory) started(w *work) {
+	if record := m.records[w.attempt]; record != nil {
+		record.outcome = OutcomeRunning
+	}
+}
+
+// close notes the outcome of an attempt and keeps its answer.
+func (m *attemptMemory) close(w *work, outcome Outcome, answer *StoredAnswer) {
+	record := m.records[w.attempt]
+	if record == nil {
+		return
+	}
+	record.work = nil
+	record.outcome = outcome
+	record.answer = answer
+	if answer != nil {
+		m.answerBytes += len(answer.Body)
+	}
+}
+
+// trim drops the oldest stored answers until they fit; the outcomes stay.
+func (m *attemptMemory) trim(limit int) {
+	for _, record := range m.expiring {
+		if m.answerBytes <= limit {
+			return
+		}
+		m.dropAnswer(record)
+	}
+}
+
+func (m *attemptMemory) dropAnswer(record *attemptRecord) {
+	if record.answer != nil {
+		m.answerBytes -= len(record.answer.Body)
+		record.answer = nil
+	}
+}
+
+// expire forgets attempts whose window has passed; one that is still under way
+// goes to the end of the line.
+func (m *attemptMemory) expire(now time.Time) {
+	for len(m.expiring) > 0 {
+		first := m.expiring[0]
+		if now.Before(first.expires) {
+			return
+		}
+		m.expiring = m.expiring[1:]
+		if first.work != nil {
+			first.expires = now.Add(time.Minute)
+			m.expiring = append(m.expiring, first)
+			return
+		}
+		m.dropAnswer(first)
+		delete(m.records, first.attempt)
+	}
+}
+
+// settleAsked tells the outcome of an attempt. One that has not started never
+// will: the answer "not run" is recorded before it is given.
+func (r *Reducer) settleAsked(e SettleAsked) {
+	if e.To != r.Self.Incarnation {
+		r.emit(SettleReply{Work: e.Work, Outcome: OutcomeUnknown})
+		return
+	}
+	record := r.memory.records[e.Attempt]
+	switch {
+	case record == nil && len(r.memory.records) >= 2*r.Settings.MaxKeys:
+		r.emit(SettleReply{Work: e.Work, Outcome: OutcomeUnknown})
+		return
+	case record == nil:
+		r.memory.forbid(e.Attempt, r.now.Add(r.Settings.KeyWindow))
+		r.emit(SettleReply{Work: e.Work, Outcome: OutcomeNotRun})
+		return
+	case record.work != nil && !record.work.running:
+		r.dropQueued(record.work, RefusalSettled)
+	}
+	r.emit(SettleReply{Work: e.Work, Outcome: record.outcome})
+}
+
+// replayWork answers a resend with the first run's answer, now or when the run
+// ends.
+func (r *Reducer) replayWork(w *work) {
+	record := r.memory.records[w.attempt]
+	switch {
+	case record == nil:
+		r.refuseWork(w, RefusalAnswerNotKept)
+	case record.outcome == OutcomeRunning:
+		w.joins = w.attempt
+		r.guard.works[w.id] = w
+		record.joined = append(record.joined, w.id)
+	default:
+		r.answerResend(w.id, record)
+	}
+}
+
+// answerJoined answers the resends that waited for a run.
+func (r *Reducer) answerJoined(attempt AttemptID) {
+	record := r.memory.records[attempt]
+	if record == nil {
+		return
+	}
+	joined := record.joined
+	record.joined = nil
+	for _, id := range joined {
+		if r.guard.works[id] == nil {
+			continue
+		}
+		delete(r.guard.works, id)
+		r.answerResend(id, record)
+	}
+	r.memory.trim(r.Settings.MaxAnswerBytes)
+}
+
+func (r *Reducer) answerResend(id WorkID, record *attemptRecord) {
+	if record.answer == nil {
+		r.refuseWork(&work{id: id}, RefusalAnswerNotKept)
+		return
+	}
+	r.emit(ReplayWork{Work: id, Answer: record.answer})
+}
--- /dev/null
+++ b/internal/decision/reducer/burn.go
@@ -0,0 +1,121 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	burnBucket  = 10 * time.Second
+	burnBuckets = 360
+)
+
+// burnSeries counts one kind's calls in buckets of time.
+type burnSeries struct {
+	service string
+	kind    string
+	buckets [burnBuckets]burnCount
+}
+
+type burnCount struct {
+	bucket int64
+	good   uint32
+	bad    uint32
+}
+
+// burnTable holds the series of every kind.
+type burnTable struct {
+	known map[string]*burnSeries
+}
+
+func (b *burnTable) init() { b.known = map[string]*burnSeries{} }
+
+// series returns the series of a kind; a later plan finds the same one.
+func (b *burnTable) series(service, kind string) *burnSeries {
+	key := service + "\x00" + kind
+	s := b.known[key]
+	if s == nil {
+		s = &burnSeries{service: service, kind: kind}
+		b.known[key] = s
+	}
+	return s
+}
+
+func (s *burnSeries) count(now time.Time, good bool) {
+	bucket := now.UnixNano() / int64(burnBucket)
+	c := &s.buckets[bucket%burnBuckets]
+	if c.bucket != bucket {
+		*c = burnCount{bucket: bucket}
+	}
+	if good {
+		c.good++
+	} else {
+		c.bad++
+	}
+}
+
+// sum counts the calls of the buckets within a window that ends now.
+func (s *burnSeries) sum(now time.Time, window time.Duration) (good, bad uint64) {
+	last := now.UnixNano() / int64(burnBucket)
+	first := last - int64(window/burnBucket) + 1
+	for _, c := range s.buckets {
+		if c.bucket >= first && c.bucket <= last {
+			good += uint64(c.good)
+			bad += uint64(c.bad)
+		}
+	}
+	return good, bad
+}
+
+// BurnWindow is the service-level burn of a kind within one window.
+type BurnWindow struct {
+	Window time.Duration `json:"window"`
+	Good   uint64        `json:"good"`
+	Bad    uint64        `json:"bad"`
+	// Burn is the rate at which the error budget is spent; one spends it
+	// exactly at the end of the objective's period.
+	Burn float64 `json:"burn"`
+}
+
+// BurnRow is the service-level burn of one kind over several windows.
+type BurnRow struct {
+	Service string       `json:"service"`
+	Kind    string       `json:"kind"`
+	Windows []BurnWindow `json:"windows"`
+}
+
+// BurnWindows returns the windows of the report, shortest first.
+func BurnWindows() []time.Duration {
+	return []time.Duration{time.Minute, 5 * time.Minute, 30 * time.Minute, time.Hour}
+}
+
+// Burn reports the service-level burn of every kind that was called.
+func (r *Reducer) Burn() []BurnRow {
+	var rows []BurnRow
+	for _, s := range r.burn.known {
+		row := BurnRow{Service: s.service, Kind: s.kind}
+		var calls uint64
+		for _, window := range BurnWindows() {
+			good, bad := s.sum(r.now, window)
+			calls = good + bad
+			row.Windows = append(row.Windows, BurnWindow{
+				Window: window, Good: good, Bad: bad, Burn: burnRate(good, bad, r.Settings.Objective),
+			})
+		}
+		if calls > 0 {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b BurnRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return rows
+}
+
+func burnRate(good, bad uint64, objective float64) float64 {
+	if good+bad == 0 || objective >= 1 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - objective)
+}
--- /dev/null
+++ b/internal/decision/reducer/call.go
@@ -0,0 +1,442 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+)
+
+// call is a caller's request at its entry.
+type call struct {
+	id          CallID
+	service     string
+	kind        *indexedKind
+	key         string
+	keyGiven    bool
+	keyed       bool
+	firstSent   time.Time
+	arrived     time.Time
+	deadline    time.Time
+	retriesLeft int
+	fingerprint uint64
+	forwarded   bool
+	callerLeft  bool
+	answered    bool
+	status      int
+	counted     bool
+	tried       []*peer
+	attempt     *attempt
+	// memory is the key's record when this call holds it open.
+	memory *keyRecord
+}
+
+// attempt is one try to run a call.
+type attempt struct {
+	id      AttemptID
+	peer    *peer
+	target  NodeID
+	length  Length
+	started time.Time
+	replay  bool
+	ended   bool
+}
+
+func (c *call) hasTried(p *peer) bool { return slices.Contains(c.tried, p) }
+
+// callArrived begins a call.
+func (r *Reducer) callArrived(e CallArrived) {
+	r.counts.Calls++
+	c := &call{
+		id: e.Call, service: e.Service, key: e.Key, keyGiven: e.Key != "", firstSent: e.FirstSent,
+		arrived: r.now, deadline: e.Deadline, retriesLeft: r.Settings.MaxRetries,
+		fingerprint: e.Fingerprint, forwarded: e.Forwarded,
+	}
+	r.calls[e.Call] = c
+	if e.Retries >= 0 {
+		c.retriesLeft = min(c.retriesLeft, e.Retries)
+	}
+	if problem := r.resolveKind(c, e.Kind); problem != "" {
+		r.reject(c, r.outcomeBeforeHome(c), problem)
+		return
+	}
+	if c.deadline.IsZero() {
+		c.deadline = r.now.Add(c.kind.kind.Allowance)
+	}
+	c.keyed = !c.kind.kind.Idempotent
+	r.retries.earn(r.Settings.RetryShare)
+	r.route(c)
+}
+
+// route sends a call on its way: to the home of its key, or to an upstream.
+func (r *Reducer) route(c *call) {
+	switch {
+	case r.suspects.quarantined(c.fingerprint):
+		r.reject(c, r.outcomeBeforeHome(c), ProblemQuarantined)
+	case r.stopping && !c.keyGiven:
+		r.reject(c, OutcomeNotRun, ProblemStopping)
+	case c.keyed:
+		r.routeKeyed(c)
+	default:
+		r.dispatch(c)
+	}
+}
+
+// resolveKind finds the plan's policy for the call.
+func (r *Reducer) resolveKind(c *call, kind string) ProblemKind {
+	s := r.index[c.service]
+	if s == nil || len(s.plan.Kinds) == 0 {
+		return ProblemUnknownService
+	}
+	if kind == "" {
+		kind = s.plan.Kinds[0].Name
+	}
+	c.kind = s.kinds[kind]
+	if c.kind == nil {
+		return ProblemUnknownKind
+	}
+	return ""
+}
+
+// outcomeBeforeHome is the outcome of a call that its key's home has not seen:
+// a key that the caller gave may have run before.
+func (r *Reducer) outcomeBeforeHome(c *call) Outcome {
+	if c.keyGiven {
+		return OutcomeUnknown
+	}
+	return OutcomeNotRun
+}
+
+// dispatch sends the call's next attempt to an upstream.
+func (r *Reducer) dispatch(c *call) {
+	if !r.now.Before(c.deadline) {
+		r.rejectNotRun(c, ProblemDeadline)
+		return
+	}
+	r.trace.begin()
+	p := r.choose(c)
+	if p == nil {
+		r.trace.add(r.now, c, nil, TraceNoUpstream)
+		r.rejectNotRun(c, r.problemWithoutPeer(c))
+		return
+	}
+	a := &attempt{
+		id: r.nextAttempt(), peer: p, target: p.member.ID(),
+		length: c.kind.kind.Length, started: r.now,
+	}
+	c.attempt = a
+	c.tried = append(c.tried, p)
+	p.begin(a.length, r.now)
+	if c.memory != nil {
+		c.memory.attempt = a.id
+		c.memory.guard = a.target
+	}
+	r.counts.Attempts++
+	r.trace.add(r.now, c, p, TraceChosen)
+	r.emit(r.sendAttempt(c))
+}
+
+func (r *Reducer) sendAttempt(c *call) SendAttempt {
+	return SendAttempt{
+		Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target, Key: c.key,
+		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
+		Retries: c.retriesLeft, Replay: c.attempt.replay, Fingerprint: c.fingerprint,
+	}
+}
+
+func (r *Reducer) problemWithoutPeer(c *call) ProblemKind {
+	if len(c.tried) > 0 {
+		return ProblemOverloaded
+	}
+	return ProblemNoUpstream
+}
+
+// endAttempt takes the attempt out of its peer's count.
+func (r *Reducer) endAttempt(c *call) {
+	a := c.attempt
+	if a == nil || a.ended || a.replay {
+		return
+	}
+	a.ended = true
+	a.peer.end(a.length, a.started)
+}
+
+// current returns the call whose attempt in flight has the given ID, or nil.
+func (r *Reducer) current(id CallID, attempt AttemptID) *call {
+	c := r.calls[id]
+	if c == nil || c.attempt == nil || c.attempt.id != attempt {
+		return nil
+	}
+	return c
+}
+
+func (r *Reducer) attemptAnswered(e AttemptAnswered) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil || c.answered {
+		return
+	}
+	a := c.attempt
+	c.answered = true
+	c.status = e.Status
+	if !a.replay {
+		failed := e.Status >= 500
+		a.peer.reported(e.Load, r.now)
+		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+	}
+	r.askForPlan(a.peer, e.Load.planOffset)
+	r.trace.add(r.now, c, a.peer, TraceAnswered)
+	r.emit(RelayAnswer{Call: c.id, Attempt: a.id, Key: c.key, Target: a.target})
+}
+
+func (r *Reducer) median(service string) time.Duration {
+	if s := r.members.services[service]; s != nil {
+		return s.median
+	}
+	return 0
+}
+
+func (r *Reducer) attemptRefused(e AttemptRefused) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	r.endAttempt(c)
+	r.trace.refusal(r.now, c, a.peer, e.Reason)
+	if a.replay {
+		r.reject(c, OutcomeUnknown, ProblemAnswerNotKept)
+		return
+	}
+	r.noteRefusal(a.peer, e)
+	if e.Reason == RefusalQuarantined {
+		r.rejectNotRun(c, ProblemQuarantined)
+		return
+	}
+	r.retryNotRun(c, e.Reason, e.BodySpent)
+}
+
+// noteRefusal keeps later choices away from an upstream that can't take work.
+func (r *Reducer) noteRefusal(p *peer, e AttemptRefused) {
+	if !e.Load.IsZero() {
+		p.reported(e.Load, r.now)
+	}
+	switch e.Reason {
+	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted:
+		p.avoid(r.now)
+	case RefusalUnreachable:
+		p.unreachable(r.now)
+	default:
+	}
+}
+
+// retryNotRun tries another upstream for a call whose attempt did not run.
+func (r *Reducer) retryNotRun(c *call, reason RefusalReason, bodySpent bool) {
+	if bodySpent || !r.mayRetry(c) {
+		r.rejectNotRun(c, problemAfterRefusal(reason))
+		return
+	}
+	if c.memory != nil && r.moved(c) {
+		r.closeKey(c, keyFree)
+		r.routeKeyed(c)
+		return
+	}
+	r.dispatch(c)
+}
+
+func problemAfterRefusal(reason RefusalReason) ProblemKind {
+	switch reason {
+	case RefusalDeadline:
+		return ProblemDeadline
+	case RefusalNoUpstream, RefusalUnreachable, RefusalRestarted, RefusalLeaving:
+		return ProblemNoUpstream
+	default:
+		return ProblemOverloaded
+	}
+}
+
+// mayRetry spends one retry of the call, the chain and the entry.
+func (r *Reducer) mayRetry(c *call) bool {
+	if c.callerLeft || c.retriesLeft <= 0 || !r.now.Before(c.deadline) {
+		return false
+	}
+	if !r.retries.spend(1) {
+		r.counts.RetriesDenied++
+		return false
+	}
+	c.retriesLeft--
+	r.counts.Retries++
+	return true
+}
+
+func (r *Reducer) attemptLost(e AttemptLost) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	if !e.Sent {
+		r.attemptRefused(AttemptRefused{
+			Call: e.Call, Attempt: e.Attempt, Reason: RefusalUnreachable, BodySpent: e.BodySpent,
+		})
+		return
+	}
+	r.endAttempt(c)
+	r.trace.add(r.now, c, a.peer, TraceLost)
+	if !a.replay && !c.callerLeft {
+		failed := r.now.Before(c.deadline)
+		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+	}
+	switch {
+	case a.replay:
+		r.reject(c, OutcomeUnknown, ProblemLost)
+	case c.keyed && !e.Dispatched:
+		r.emit(SettleAttempt{Call: c.id, Attempt: a.id, Target: a.target})
+	case c.keyed:
+		r.rejectDoubtful(c)
+	case e.BodySpent || !r.mayRetry(c):
+		r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
+	default:
+		r.dispatch(c)
+	}
+}
+
+func (r *Reducer) problemAfterLoss(c *call) ProblemKind {
+	if !r.now.Before(c.deadline) {
+		return ProblemDeadline
+	}
+	return ProblemLost
+}
+
+func (r *Reducer) attemptSettled(e AttemptSettled) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	r.trace.settled(r.now, c, c.attempt.peer, e.Outcome)
+	switch e.Outcome {
+	case OutcomeNotRun:
+		if c.memory == nil {
+			r.settledFree(c)
+			return
+		}
+		r.retryNotRun(c, RefusalSettled, e.BodySpent)
+	case OutcomeRan, OutcomeRunning:
+		r.replay(c)
+	default:
+		r.rejectDoubtful(c)
+	}
+}
+
+func (r *Reducer) answerEnded(e AnswerEnded) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	r.endAttempt(c)
+	if a.peer != nil && a.peer.tier == tierOther {
+		r.crossRegion.tokens -= float64(e.Bytes)
+		r.counts.CrossRegionBytes += uint64(e.Bytes)
+	}
+	r.countCall(c, e.Whole && c.status < 500 && r.now.Before(c.deadline))
+	if c.memory != nil {
+		r.closeKey(c, keyRan)
+	}
+}
+
+func (r *Reducer) callerLeft(e CallerLeft) {
+	c := r.calls[e.Call]
+	if c == nil || c.callerLeft {
+		return
+	}
+	c.callerLeft = true
+	if c.memory != nil && len(c.memory.waiting) > 0 {
+		// Another send of the same key waits for this run, so it goes on.
+		return
+	}
+	r.emit(CancelCall{Call: c.id})
+}
+
+// callExpired answers a call that waited in this node until its deadline.
+func (r *Reducer) callExpired(e CallExpired) {
+	c := r.calls[e.Call]
+	if c == nil || c.answered {
+		return
+	}
+	r.endAttempt(c)
+	if c.memory != nil {
+		r.rejectDoubtful(c)
+		return
+	}
+	r.reject(c, r.outcomeBeforeHome(c), ProblemDeadline)
+}
+
+// callEnded forgets a call, however it ended.
+func (r *Reducer) callEnded(e CallEnded) {
+	c := r.calls[e.Call]
+	if c == nil {
+		return
+	}
+	r.endAttempt(c)
+	if c.memory != nil {
+		if c.answered {
+			r.closeKey(c, keyRan)
+		} else {
+			r.closeKey(c, keyDoubtful)
+		}
+	}
+	r.countCall(c, false)
+	delete(r.calls, e.Call)
+	delete(r.tableWaits, e.Call)
+	r.keys.stopWaiting(c)
+}
+
+// rejectNotRun answers a call that no upstream ran.
+func (r *Reducer) rejectNotRun(c *call, problem ProblemKind) {
+	if c.memory != nil {
+		r.closeKey(c, keyFree)
+	}
+	r.reject(c, OutcomeNotRun, problem)
+}
+
+// rejectDoubtful answers a keyed call that may have run.
+func (r *Reducer) rejectDoubtful(c *call) {
+	if c.memory != nil {
+		r.closeKey(c, keyDoubtful)
+	}
+	r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
+}
+
+func (r *Reducer) reject(c *call, outcome Outcome, problem ProblemKind) {
+	c.answered = true
+	r.countCall(c, false)
+	r.trace.rejected(r.now, c, outcome, problem)
+	r.emit(RejectCall{Call: c.id, Outcome: outcome, Problem: problem, Key: c.key})
+}
+
+// countCall counts a call once for the service-level burn.
+func (r *Reducer) countCall(c *call, good bool) {
+	if c.counted {
+		return
+	}
+	c.counted = true
+	if c.callerLeft && !good {
+		r.counts.CallersLeft++
+		return
+	}
+	if good {
+		r.counts.Good++
+	} else {
+		r.counts.Bad++
+	}
+	if c.kind != nil && !c.forwarded {
+		c.kind.burn.count(r.now, good)
+	}
+}
+
+// CallDeadline returns when a call expires; it is the present for a call that is
+// not under way.
+func (r *Reducer) CallDeadline(id CallID) time.Time {
+	if c := r.calls[id]; c != nil && !c.deadline.IsZero() {
+		return c.deadline
+	}
+	return r.now
+}
--- /dev/null
+++ b/internal/decision/reducer/guard.go
@@ -0,0 +1,385 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+)
+
+// longAfterShorts is how many short attempts may start while long work waits
+// before a long attempt starts.
+const longAfterShorts = 8
+
+// guard is the only door to the upstream on this VM.
+type guard struct {
+	service   string
+	upstream  string
+	slots     int
+	announced time.Time
+	draining  bool
+	dead      bool
+
+	works       map[WorkID]*work
+	running     int
+	runningLong int
+	short       workQueue
+	long        workQueue
+	shortsSince int
+	shortTime   time.Duration
+	longTime    time.Duration
+	answeredAt  time.Time
+}
+
+// work is an attempt at its guard.
+type work struct {
+	id          WorkID
+	attempt     AttemptID
+	keyed       bool
+	length      Length
+	weight      int
+	deadline    time.Time
+	fingerprint uint64
+	running     bool
+	started     time.Time
+	// joins is the attempt whose answer this resend waits for.
+	joins AttemptID
+}
+
+// workQueue holds attempts that wait for a slot: heavier kinds first, and the
+// earlier deadline first within a weight.
+type workQueue struct{ works []*work }
+
+func (q *workQueue) push(w *work) {
+	at, _ := slices.BinarySearchFunc(q.works, w, compareWork)
+	q.works = slices.Insert(q.works, at, w)
+}
+
+func (q *workQueue) pop() *work {
+	w := q.works[0]
+	q.works = slices.Delete(q.works, 0, 1)
+	return w
+}
+
+func (q *workQueue) remove(w *work) bool {
+	before := len(q.works)
+	q.works = slices.DeleteFunc(q.works, func(o *work) bool { return o == w })
+	return len(q.works) < before
+}
+
+// ahead counts the attempts that would start before w.
+func (q *workQueue) ahead(w *work) int {
+	at, _ := slices.BinarySearchFunc(q.works, w, compareWork)
+	return at
+}
+
+func compareWork(a, b *work) int {
+	switch {
+	case a.weight != b.weight:
+		return b.weight - a.weight
+	case !a.deadline.Equal(b.deadline):
+		return a.deadline.Compare(b.deadline)
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (g *guard) init() { g.works = map[WorkID]*work{} }
+
+// openSlots is how many calls the upstream may run now: a new one opens its
+// slots over the warm-up.
+func (g *guard) openSlots(now time.Time, warmup time.Duration) int {
+	age := now.Sub(g.announced)
+	if warmup <= 0 || age >= warmup {
+		return g.slots
+	}
+	return max(1, int(float64(g.slots)*float64(age)/float64(warmup)))
+}
+
+// longSlots is how many slots long work may hold.
+func (g *guard) longSlots(reserve int) int {
+	return max(1, g.slots-reserve)
+}
+
+func (g *guard) queued() int { return len(g.short.works) + len(g.long.works) }
+
+func (g *guard) queueOf(l Length) *workQueue {
+	if l == LengthLong {
+		return &g.long
+	}
+	return &g.short
+}
+
+func (g *guard) expectedTime(l Length) time.Duration {
+	if l == LengthLong {
+		return g.longTime
+	}
+	return g.shortTime
+}
+
+func (g *guard) sample(l Length, took time.Duration) {
+	estimate := &g.shortTime
+	if l == LengthLong {
+		estimate = &g.longTime
+	}
+	if *estimate == 0 {
+		*estimate = took
+	}
+	*estimate += time.Duration(serviceTimeWeight * float64(took-*estimate))
+}
+
+func (r *Reducer) loadReport() LoadReport {
+	g := &r.guard
+	return NewLoadReport(g.running, g.queued(), g.slots, g.shortTime, r.inForce.offset)
+}
+
+// LoadReport returns the guard's load as it is told with every answer.
+func (r *Reducer) LoadReport() LoadReport { return r.loadReport() }
+
+// upstreamAnnounced takes the upstream's word about itself.
+func (r *Reducer) upstreamAnnounced(e UpstreamAnnounced) {
+	g := &r.guard
+	fresh := g.service != e.Service || g.upstream != e.Address || g.dead
+	if fresh {
+		g.announced = r.now
+		g.shortTime = 0
+		g.longTime = 0
+	}
+	changed := fresh || g.slots != e.Slots || g.draining != e.Draining
+	g.service = e.Service
+	g.upstream = e.Address
+	g.slots = e.Slots
+	g.draining = e.Draining
+	g.dead = false
+	g.answeredAt = r.now
+	if changed {
+		r.announceSelf()
+	}
+	r.refuseQueueWhenLeaving()
+	r.startWork()
+}
+
+// leaving reports whether the upstream takes no new work.
+func (r *Reducer) leaving() bool {
+	if r.stopping || r.guard.draining {
+		return true
+	}
+	s := r.index[r.guard.service]
+	return s != nil && s.plan.excludes(r.guard.upstream)
+}
+
+// workArrived admits, queues, replays or refuses an attempt.
+func (r *Reducer) workArrived(e WorkArrived) {
+	w := &work{
+		id: e.Work, attempt: e.Attempt, keyed: e.Keyed, length: e.Length, weight: 1,
+		deadline: e.Deadline, fingerprint: e.Fingerprint,
+	}
+	if s := r.index[e.Service]; s != nil && s.kinds[e.Kind] != nil {
+		w.weight = s.kinds[e.Kind].kind.Weight
+	}
+	if e.To != r.Self.Incarnation {
+		r.refuseWork(w, RefusalRestarted)
+		return
+	}
+	if e.Replay {
+		r.replayWork(w)
+		return
+	}
+	if reason := r.refusalFor(w, e.Service); reason != "" {
+		r.refuseWork(w, reason)
+		return
+	}
+	if w.keyed {
+		r.memory.open(w, r.now.Add(r.Settings.KeyWindow))
+	}
+	r.guard.works[w.id] = w
+	r.guard.queueOf(w.length).push(w)
+	r.startWork()
+}
+
+// refusalFor returns why an attempt can't be taken, or an empty reason.
+func (r *Reducer) refusalFor(w *work, service string) RefusalReason {
+	g := &r.guard
+	switch {
+	case g.service != service || g.upstream == "" || g.dead:
+		return RefusalNoUpstream
+	case r.leaving():
+		return RefusalLeaving
+	case r.suspects.quarantined(w.fingerprint):
+		return RefusalQuarantined
+	case w.keyed && r.memory.records[w.attempt] != nil:
+		return RefusalSettled
+	case w.keyed && len(r.memory.records) >= r.Settings.MaxKeys:
+		return RefusalMemoryFull
+	case !r.canFinish(w):
+		return RefusalDeadline
+	case g.queued() >= g.slots*r.Settings.QueuePerSlot && !r.displace(w):
+		return RefusalFull
+	default:
+		return ""
+	}
+}
+
+// canFinish reports whether an attempt should complete by its deadline.
+func (r *Reducer) canFinish(w *work) bool {
+	g := &r.guard
+	expected := g.expectedTime(w.length)
+	wait := time.Duration(0)
+	if g.running >= g.slots {
+		rounds := float64(g.queueOf(w.length).ahead(w)+1) / float64(max(1, g.slots))
+		wait = time.Duration(float64(expected) * rounds)
+	}
+	return r.now.Add(wait + expected).Before(w.deadline)
+}
+
+// displace refuses the lightest queued attempt in favour of a heavier one.
+func (r *Reducer) displace(w *work) bool {
+	g := &r.guard
+	var lightest *work
+	for _, q := range []*workQueue{&g.long, &g.short} {
+		if len(q.works) == 0 {
+			continue
+		}
+		last := q.works[len(q.works)-1]
+		if lightest == nil || last.weight < lightest.weight {
+			lightest = last
+		}
+	}
+	if lightest == nil || lightest.weight >= w.weight {
+		return false
+	}
+	r.dropQueued(lightest, RefusalDisplaced)
+	return true
+}
+
+// dropQueued refuses an attempt that waits in the queue.
+func (r *Reducer) dropQueued(w *work, reason RefusalReason) {
+	r.guard.queueOf(w.length).remove(w)
+	delete(r.guard.works, w.id)
+	r.memory.close(w, OutcomeNotRun, nil)
+	r.refuseWork(w, reason)
+}
+
+func (r *Reducer) refuseWork(w *work, reason RefusalReason) {
+	r.counts.Refused++
+	r.emit(RefuseWork{Work: w.id, Reason: reason})
+}
+
+// startWork starts queued attempts while slots are free.
+func (r *Reducer) startWork() {
+	g := &r.guard
+	if g.dead || r.leaving() {
+		return
+	}
+	for g.running < g.openSlots(r.now, r.Settings.Warmup) {
+		w := r.nextWork()
+		if w == nil {
+			return
+		}
+		if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
+			delete(g.works, w.id)
+			r.memory.close(w, OutcomeNotRun, nil)
+			r.refuseWork(w, RefusalDeadline)
+			continue
+		}
+		r.start(w)
+	}
+}
+
+// nextWork takes the attempt to start next out of its queue. Short work goes
+// first; long work that waits gets a turn after a number of short starts.
+func (r *Reducer) nextWork() *work {
+	g := &r.guard
+	longFree := len(g.long.works) > 0 && g.runningLong < g.longSlots(r.Settings.ShortReserve)
+	shortFree := len(g.short.works) > 0
+	switch {
+	case longFree && (!shortFree || g.shortsSince >= longAfterShorts):
+		g.shortsSince = 0
+		return g.long.pop()
+	case shortFree:
+		g.shortsSince++
+		return g.short.pop()
+	default:
+		return nil
+	}
+}
+
+func (r *Reducer) start(w *work) {
+	g := &r.guard
+	w.running = true
+	w.started = r.now
+	g.running++
+	if w.length == LengthLong {
+		g.runningLong++
+	}
+	r.memory.started(w)
+	r.counts.Started++
+	r.emit(StartWork{Work: w.id, Upstream: g.upstream})
+}
+
+// workEnded frees the slot of an attempt.
+func (r *Reducer) workEnded(e WorkEnded) {
+	g := &r.guard
+	w := g.works[e.Work]
+	if w == nil {
+		return
+	}
+	delete(g.works, e.Work)
+	if !w.running {
+		return
+	}
+	g.running--
+	if w.length == LengthLong {
+		g.runningLong--
+	}
+	if e.Outcome == OutcomeRan {
+		g.answeredAt = r.now
+		if e.Status < 500 {
+			g.sample(w.length, r.now.Sub(w.started))
+		}
+	}
+	r.memory.close(w, e.Outcome, e.Answer)
+	r.answerJoined(w.attempt)
+	r.startWork()
+}
+
+// workLeft drops an attempt whose requester no longer waits, if it has not started.
+func (r *Reducer) workLeft(e WorkLeft) {
+	g := &r.guard
+	w := g.works[e.Work]
+	if w == nil || w.running {
+		return
+	}
+	if w.joins != "" {
+		delete(g.works, w.id)
+		return
+	}
+	r.dropQueued(w, RefusalDeadline)
+}
+
+// expireQueue refuses queued attempts that can't complete by their deadline.
+func (r *Reducer) expireQueue() {
+	g := &r.guard
+	for _, q := range []*workQueue{&g.short, &g.long} {
+		for _, w := range slices.Clone(q.works) {
+			if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
+				r.dropQueued(w, RefusalDeadline)
+			}
+		}
+	}
+}
+
+// refuseQueueWhenLeaving gives queued attempts back, so that they can run elsewhere.
+func (r *Reducer) refuseQueueWhenLeaving() {
+	if !r.leaving() {
+		return
+	}
+	g := &r.guard
+	for _, q := range []*workQueue{&g.short, &g.long} {
+		for _, w := range slices.Clone(q.works) {
+			r.dropQueued(w, RefusalLeaving)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/home.go
@@ -0,0 +1,344 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// keyState is what a home knows of a key.
+type keyState int
+
+const (
+	// keyOpen is a key whose call is under way at this home.
+	keyOpen keyState = iota
+	// keyRan is a key that ran; its guard may keep the answer.
+	keyRan
+	// keyFree is a key that did not run, and may.
+	keyFree
+	// keyDoubtful is a key whose last attempt may have run or may still run.
+	keyDoubtful
+)
+
+// keyRecord is a home's memory of one key.
+type keyRecord struct {
+	key     string
+	service string
+	state   keyState
+	attempt AttemptID
+	guard   NodeID
+	expires time.Time
+	waiting []*call
+}
+
+// KeyMemory is a home's memory of one key on its way to the next home.
+type KeyMemory struct {
+	Key     string
+	Ran     bool
+	Free    bool
+	Attempt AttemptID
+	Guard   NodeID
+	Expires time.Time
+}
+
+// keyMemory is a home's bounded memory of keys.
+type keyMemory struct {
+	records map[string]*keyRecord
+	// expiring holds the records by the time of their first expiry.
+	expiring []*keyRecord
+}
+
+func (m *keyMemory) init() { m.records = map[string]*keyRecord{} }
+
+// add remembers a key; it is expired later than every key before it.
+func (m *keyMemory) add(record *keyRecord) {
+	m.records[record.key] = record
+	m.expiring = append(m.expiring, record)
+}
+
+// expire forgets keys whose window has passed. A key that is open, or was used
+// again, goes to the end of the line.
+func (m *keyMemory) expire(now time.Time) {
+	for len(m.expiring) > 0 {
+		first := m.expiring[0]
+		if m.records[first.key] == first && (first.state == keyOpen || now.Before(first.expires)) {
+			if first.state != keyOpen {
+				return
+			}
+			m.expiring = append(m.expiring[1:], first)
+			return
+		}
+		if m.records[first.key] == first {
+			delete(m.records, first.key)
+		}
+		m.expiring = m.expiring[1:]
+	}
+}
+
+// stopWaiting forgets that a call waits for another send of its key.
+func (m *keyMemory) stopWaiting(c *call) {
+	record := m.records[c.key]
+	if record == nil {
+		return
+	}
+	for i, w := range record.waiting {
+		if w == c {
+			record.waiting = append(record.waiting[:i], record.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// routeKeyed sends a non-idempotent call to the home of its key.
+func (r *Reducer) routeKeyed(c *call) {
+	if c.key == "" {
+		c.key = r.issueKey().String()
+		r.useKey(c, time.Time{}, time.Time{})
+		return
+	}
+	if issued, ok := parseIssuedKey(c.key); ok {
+		r.routeIssued(c, issued)
+		return
+	}
+	r.routeChosen(c)
+}
+
+func (r *Reducer) issueKey() issuedKey {
+	r.sequence++
+	return issuedKey{incarnation: r.Self.Incarnation, issued: r.now, sequence: r.sequence}
+}
+
+// routeIssued sends a call to the process that issued its key.
+func (r *Reducer) routeIssued(c *call, key issuedKey) {
+	if key.incarnation == r.Self.Incarnation {
+		r.useKey(c, key.issued, time.Time{})
+		return
+	}
+	home := r.members.byIncarnation[key.incarnation]
+	if home == nil {
+		r.reject(c, OutcomeUnknown, ProblemHomeUnavailable)
+		return
+	}
+	r.forward(c, home.member.ID())
+}
+
+// routeChosen sends a call to the home of its caller-chosen key.
+func (r *Reducer) routeChosen(c *call) {
+	table := r.log.tables[c.service]
+	if table == nil || table.version == 0 {
+		r.waitForTable(c)
+		return
+	}
+	i := partitionOf(c.key)
+	part := table.partitions[i]
+	if part.owner.ID() != r.selfID() {
+		r.forward(c, part.owner.ID())
+		return
+	}
+	if r.moving(c.service, i) {
+		if record := r.keys.records[c.key]; record != nil && record.state == keyRan {
+			r.useKey(c, time.Time{}, time.Time{})
+			return
+		}
+		r.waitForTable(c)
+		return
+	}
+	r.useKey(c, keyBirth(c.key, c.firstSent), part.cut)
+}
+
+// forward passes a call to the home of its key. A call that another entry
+// forwarded is sent back instead, so that no call circles between old tables.
+func (r *Reducer) forward(c *call, home NodeID) {
+	r.trace.forwarded(r.now, c, home)
+	if c.forwarded {
+		c.answered = true
+		r.counts.NotHome++
+		r.emit(RejectCall{Call: c.id, Outcome: OutcomeUnknown, Problem: ProblemHomeUnavailable, Key: c.key, NotHome: true})
+		return
+	}
+	r.counts.Forwarded++
+	r.emit(ForwardCall{Call: c.id, Target: home, Key: c.key, Deadline: c.deadline})
+}
+
+// waitForTable keeps a call until the home table changes.
+func (r *Reducer) waitForTable(c *call) {
+	if c.forwarded {
+		r.forward(c, NodeID{})
+		return
+	}
+	r.tableWaits[c.id] = c
+}
+
+// tablesChanged acts on changed home tables.
+func (r *Reducer) tablesChanged() {
+	r.finishMoves()
+	r.routeWaiting()
+}
+
+// routeWaiting routes the calls that waited for a home table, in order of arrival.
+func (r *Reducer) routeWaiting() {
+	if len(r.tableWaits) == 0 {
+		return
+	}
+	waiting := r.tableWaits
+	r.tableWaits = map[CallID]*call{}
+	for _, id := range slices.Sorted(maps.Keys(waiting)) {
+		r.routeKeyed(waiting[id])
+	}
+}
+
+func (r *Reducer) homeRefused(e HomeRefused) {
+	c := r.calls[e.Call]
+	if c == nil || c.answered {
+		return
+	}
+	r.waitForTable(c)
+}
+
+func (r *Reducer) homeAnswered(e HomeAnswered) {
+	if c := r.calls[e.Call]; c != nil {
+		r.countCall(c, e.Good && r.now.Before(c.deadline))
+	}
+}
+
+func (r *Reducer) homeLost(e HomeLost) {
+	c := r.calls[e.Call]
+	if c == nil || c.answered {
+		return
+	}
+	r.reject(c, OutcomeUnknown, ProblemHomeUnavailable)
+}
+
+// useKey runs, replays or refuses a call at the home of its key. Born is when
+// the key was made, or zero; cut is when the key's share lost its memory, or zero.
+func (r *Reducer) useKey(c *call, born, cut time.Time) {
+	record := r.keys.records[c.key]
+	if record == nil {
+		r.openNewKey(c, born, cut)
+		return
+	}
+	switch record.state {
+	case keyOpen:
+		record.waiting = append(record.waiting, c)
+	case keyFree:
+		r.openKey(c, record)
+		r.dispatch(c)
+	case keyRan:
+		c.attempt = r.oldAttempt(c, record)
+		r.replay(c)
+	case keyDoubtful:
+		c.attempt = r.oldAttempt(c, record)
+		r.emit(SettleAttempt{Call: c.id, Attempt: record.attempt, Target: record.guard})
+	}
+}
+
+// openNewKey runs a key that this home has no memory of, unless it may have run
+// before the memory began.
+func (r *Reducer) openNewKey(c *call, born, cut time.Time) {
+	switch {
+	case !born.IsZero() && r.now.Sub(born) > r.Settings.KeyWindow:
+		r.reject(c, OutcomeUnknown, ProblemKeyTooOld)
+		return
+	case r.lostMemory(born, cut):
+		r.reject(c, OutcomeUnknown, ProblemHomeUnavailable)
+		return
+	case len(r.keys.records) >= r.Settings.MaxKeys:
+		r.reject(c, OutcomeNotRun, ProblemKeyMemoryFull)
+		return
+	case r.stopping:
+		r.reject(c, OutcomeNotRun, ProblemStopping)
+		return
+	}
+	record := &keyRecord{key: c.key, service: c.service, expires: r.now.Add(r.Settings.KeyWindow)}
+	r.keys.add(record)
+	r.openKey(c, record)
+	r.dispatch(c)
+}
+
+// lostMemory reports whether a key may have run before its share's memory was
+// lost.
+func (r *Reducer) lostMemory(born, cut time.Time) bool {
+	if cut.IsZero() {
+		return false
+	}
+	if born.IsZero() {
+		return r.now.Before(cut.Add(r.Settings.KeyWindow))
+	}
+	return born.Before(cut.Add(r.Settings.ClockSkew))
+}
+
+func (r *Reducer) openKey(c *call, record *keyRecord) {
+	record.state = keyOpen
+	record.attempt = ""
+	record.guard = NodeID{}
+	c.memory = record
+}
+
+// closeKey ends the call's hold on its key and routes the calls that waited.
+func (r *Reducer) closeKey(c *call, state keyState) {
+	record := c.memory
+	c.memory = nil
+	if state == keyDoubtful && record.attempt == "" {
+		state = keyFree
+	}
+	record.state = state
+	record.expires = r.now.Add(r.Settings.KeyWindow)
+	waiting := record.waiting
+	record.waiting = nil
+	for _, w := range waiting {
+		r.routeKeyed(w)
+	}
+}
+
+// oldAttempt stands for an attempt that an earlier send of the key made.
+func (r *Reducer) oldAttempt(c *call, record *keyRecord) *attempt {
+	return &attempt{
+		id: record.attempt, target: record.guard, length: c.kind.kind.Length,
+		started: r.now, replay: true, peer: r.peerOf(record.guard),
+	}
+}
+
+// peerOf returns what is known of a process, or a placeholder for one that was
+// replaced.
+func (r *Reducer) peerOf(id NodeID) *peer {
+	if p := r.members.byIncarnation[id.Incarnation()]; p != nil {
+		return p
+	}
+	return newPeer(NewMember(MemberSpec{Address: id.Address(), Incarnation: id.Incarnation()}), tierOther)
+}
+
+// replay asks the guard of the call's attempt for the first run's answer.
+func (r *Reducer) replay(c *call) {
+	a := *c.attempt
+	a.replay = true
+	a.ended = true
+	c.attempt = &a
+	r.counts.Replays++
+	r.emit(r.sendAttempt(c))
+}
+
+// settledFree runs a key whose doubtful attempt turned out not to have run.
+func (r *Reducer) settledFree(c *call) {
+	record := r.keys.records[c.key]
+	switch {
+	case record == nil:
+		r.reject(c, OutcomeUnknown, ProblemKeyTooOld)
+	case record.state == keyDoubtful && record.attempt == c.attempt.id:
+		record.state = keyFree
+		c.attempt = nil
+		r.routeKeyed(c)
+	default:
+		// Another send settled the same attempt first.
+		c.attempt = nil
+		r.routeKeyed(c)
+	}
+}
+
+// keysRequested issues keys whose home is this process.
+func (r *Reducer) keysRequested(e KeysRequested) {
+	keys := make([]string, 0, e.Count)
+	for range e.Count {
+		keys = append(keys, r.issueKey().String())
+	}
+	r.emit(KeysIssued{Call: e.Call, Keys: keys})
+}
--- /dev/null
+++ b/internal/decision/reducer/key.go
@@ -0,0 +1,59 @@
+package reducer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/ulid/v2"
+)
+
+const issuedPrefix = "tgl1"
+
+// issuedKey is a key that a node made; it names the process that is its home.
+type issuedKey struct {
+	incarnation uint64
+	issued      time.Time
+	sequence    uint64
+}
+
+// String returns the key's text form.
+func (k issuedKey) String() string {
+	return fmt.Sprintf("%s-%016x-%x-%x", issuedPrefix, k.incarnation, k.issued.UnixMilli(), k.sequence)
+}
+
+// parseIssuedKey returns the parts of a key that a node made.
+func parseIssuedKey(key string) (issuedKey, bool) {
+	parts := strings.Split(key, "-")
+	if len(parts) != 4 || parts[0] != issuedPrefix {
+		return issuedKey{}, false
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return issuedKey{}, false
+	}
+	milliseconds, err := strconv.ParseInt(parts[2], 16, 64)
+	if err != nil {
+		return issuedKey{}, false
+	}
+	sequence, err := strconv.ParseUint(parts[3], 16, 64)
+	if err != nil {
+		return issuedKey{}, false
+	}
+	return issuedKey{incarnation: incarnation, issued: time.UnixMilli(milliseconds), sequence: sequence}, true
+}
+
+// keyBirth returns when a caller made its key, or a zero time when neither the
+// key nor the caller's first-sent instant tells.
+func keyBirth(key string, firstSent time.Time) time.Time {
+	if id, err := uuid.Parse(key); err == nil && id.Version() == 7 {
+		seconds, nanoseconds := id.Time().UnixTime()
+		return time.Unix(seconds, nanoseconds)
+	}
+	if id, err := ulid.ParseStrict(key); err == nil {
+		return ulid.Time(id.Time())
+	}
+	return firstSent
+}
--- /dev/null
+++ b/internal/decision/reducer/membership.go
@@ -0,0 +1,369 @@
+package reducer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// tier orders upstreams by their distance from this node.
+type tier int
+
+const (
+	tierSelf tier = iota
+	tierZone
+	tierRegion
+	tierOther
+	tierCount
+)
+
+const (
+	maxHotMembers       = 48
+	hotMemberRounds     = 12
+	unreachableBackoff  = 500 * time.Millisecond
+	maxUnreachable      = 15 * time.Second
+	randomMembersInSync = 16
+	planAskPeriod       = 200 * time.Millisecond
+)
+
+// Digest is what a node shows of its state on every exchange.
+type Digest struct {
+	Address     string
+	Incarnation uint64
+	PlanOffset  int64
+	LogNext     int64
+	LogKnown    bool
+	Members     int
+	MembersHash uint64
+	Load        LoadReport
+}
+
+// membership is what the node knows of the other nodes.
+type membership struct {
+	self          Member
+	peers         map[string]*peer
+	byIncarnation map[uint64]*peer
+	services      map[string]*servicePeers
+	order         []*peer
+	hot           []hotMember
+	hash          uint64
+	exchangeDue   time.Time
+	planAskDue    time.Time
+	refreshDue    time.Time
+}
+
+// hotMember is a recent announcement that is still being spread.
+type hotMember struct {
+	address string
+	rounds  int
+}
+
+// servicePeers are a service's upstreams, nearest first.
+type servicePeers struct {
+	tiers  [tierCount][]*peer
+	all    []*peer
+	median time.Duration
+	turn   int
+}
+
+func (m *membership) init(self Member) {
+	m.self = self
+	m.peers = map[string]*peer{}
+	m.byIncarnation = map[uint64]*peer{}
+	m.services = map[string]*servicePeers{}
+}
+
+// merge takes an announcement, unless a later one is known.
+func (m *membership) merge(member Member, index planIndex, now time.Time, lifetime time.Duration) {
+	address := member.ID().Address()
+	known := m.peers[address]
+	if known != nil && !member.supersedes(known.member) {
+		return
+	}
+	expires := now.Add(lifetime)
+	switch {
+	case known == nil:
+		known = newPeer(member, m.tierOf(member))
+		m.peers[address] = known
+		m.order = append(m.order, known)
+	case known.member.ID() != member.ID():
+		delete(m.byIncarnation, known.member.ID().Incarnation())
+		m.hash ^= memberHash(known.member)
+		fresh := newPeer(member, m.tierOf(member))
+		m.peers[address] = fresh
+		m.order[slices.Index(m.order, known)] = fresh
+		known = fresh
+	default:
+		m.hash ^= memberHash(known.member)
+		known.announced(member)
+	}
+	known.expires = expires
+	m.hash ^= memberHash(member)
+	m.byIncarnation[member.ID().Incarnation()] = known
+	m.heat(address)
+	m.replan(index)
+}
+
+// heat begins to spread the announcement of an address.
+func (m *membership) heat(address string) {
+	m.hot = slices.DeleteFunc(m.hot, func(h hotMember) bool { return h.address == address })
+	if len(m.hot) == maxHotMembers {
+		m.hot = slices.Delete(m.hot, 0, 1)
+	}
+	m.hot = append(m.hot, hotMember{address: address, rounds: hotMemberRounds})
+}
+
+// takeHot returns the announcements to spread in one exchange.
+func (m *membership) takeHot() []Member {
+	var members []Member
+	for i := range m.hot {
+		m.hot[i].rounds--
+		if p := m.peers[m.hot[i].address]; p != nil {
+			members = append(members, p.member)
+		}
+	}
+	m.hot = slices.DeleteFunc(m.hot, func(h hotMember) bool { return h.rounds <= 0 })
+	return members
+}
+
+// remove forgets a member that was not announced again.
+func (m *membership) remove(p *peer) {
+	id := p.member.ID()
+	delete(m.peers, id.Address())
+	delete(m.byIncarnation, id.Incarnation())
+	m.hash ^= memberHash(p.member)
+	m.order = slices.DeleteFunc(m.order, func(o *peer) bool { return o == p })
+}
+
+// replan sorts the members into services and tiers.
+func (m *membership) replan(index planIndex) {
+	services := map[string]*servicePeers{}
+	for _, p := range m.order {
+		name := p.member.Service()
+		if name == "" {
+			continue
+		}
+		s := services[name]
+		if s == nil {
+			s = &servicePeers{}
+			if old := m.services[name]; old != nil {
+				s.median = old.median
+				s.turn = old.turn
+			}
+			services[name] = s
+		}
+		p.planned(index[name])
+		s.all = append(s.all, p)
+		s.tiers[p.tier] = append(s.tiers[p.tier], p)
+	}
+	m.services = services
+}
+
+func (m *membership) tierOf(member Member) tier {
+	switch {
+	case member.ID() == m.self.ID():
+		return tierSelf
+	case member.Region() != m.self.Region():
+		return tierOther
+	case member.Zone() != m.self.Zone():
+		return tierRegion
+	default:
+		return tierZone
+	}
+}
+
+// refresh forgets expired members and renews what choices compare.
+func (m *membership) refresh(now time.Time, settings Settings) {
+	if now.Before(m.refreshDue) {
+		return
+	}
+	m.refreshDue = now.Add(100 * time.Millisecond)
+	var expired []*peer
+	for _, p := range m.order {
+		if p.tier != tierSelf && now.After(p.expires) && p.outstanding() == 0 {
+			expired = append(expired, p)
+		}
+	}
+	for _, p := range expired {
+		m.remove(p)
+	}
+	if len(expired) > 0 {
+		m.dropFromServices(expired)
+	}
+	for _, s := range m.services {
+		s.refresh(now, settings)
+	}
+}
+
+func (m *membership) dropFromServices(expired []*peer) {
+	gone := func(p *peer) bool { return slices.Contains(expired, p) }
+	for _, s := range m.services {
+		s.all = slices.DeleteFunc(s.all, gone)
+		for i := range s.tiers {
+			s.tiers[i] = slices.DeleteFunc(s.tiers[i], gone)
+		}
+	}
+}
+
+// silent notes a peer that did not answer.
+func (m *membership) silent(address string, now time.Time) {
+	if p := m.peers[address]; p != nil {
+		p.unreachable(now)
+	}
+}
+
+// memberHash returns a number that differs between announcements.
+func memberHash(m Member) uint64 {
+	h := fnv.New64a()
+	spec := m.spec
+	_, _ = h.Write([]byte(spec.Address))
+	_, _ = h.Write([]byte{
+		byte(spec.Incarnation), byte(spec.Incarnation >> 8), byte(spec.Incarnation >> 16),
+		byte(spec.Incarnation >> 24), byte(spec.Version), byte(spec.Version >> 8),
+	})
+	return h.Sum64()
+}
+
+// heardMember takes an announcement from the log or from a peer.
+func (r *Reducer) heardMember(member Member) {
+	if member.ID().Address() == r.Self.Address && member.ID().Incarnation() != r.Self.Incarnation {
+		// An earlier process at this address; its shares are claimed elsewhere.
+		return
+	}
+	if member.ID() == r.selfID() && member.spec.Version > r.Self.Version {
+		return
+	}
+	r.members.merge(member, r.index, r.now, r.Settings.Retention)
+}
+
+func (r *Reducer) digest() Digest {
+	return Digest{
+		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset,
+		LogNext: r.log.next, LogKnown: r.log.known,
+		Members: len(r.members.peers), MembersHash: r.members.hash, Load: r.loadReport(),
+	}
+}
+
+// exchange asks one random peer for news.
+func (r *Reducer) exchange() {
+	if r.now.Before(r.members.exchangeDue) {
+		return
+	}
+	jitter := time.Duration(r.random.Int64N(int64(r.Settings.ExchangePeriod)))
+	r.members.exchangeDue = r.now.Add(r.Settings.ExchangePeriod/2 + jitter)
+	p := r.randomPeer()
+	switch {
+	case p != nil:
+		r.ask(p)
+	case len(r.Seeds) > 0:
+		seed := r.Seeds[r.random.IntN(len(r.Seeds))]
+		r.emit(AskPeer{Address: seed, Digest: r.digest(), Members: r.members.takeHot()})
+	}
+}
+
+// askForPlan asks a peer that shows a later plan, at most once in a while.
+func (r *Reducer) askForPlan(p *peer, offset int64) {
+	if offset <= r.inForce.offset || r.now.Before(r.members.planAskDue) {
+		return
+	}
+	r.members.planAskDue = r.now.Add(planAskPeriod)
+	r.ask(p)
+}
+
+func (r *Reducer) ask(p *peer) {
+	r.emit(AskPeer{
+		Address: p.member.ID().Address(), Digest: r.digest(), Members: r.members.takeHot(),
+	})
+}
+
+// randomPeer returns a peer that may answer, or nil.
+func (r *Reducer) randomPeer() *peer {
+	others := len(r.members.order)
+	for range 4 {
+		if others == 0 {
+			return nil
+		}
+		p := r.members.order[r.random.IntN(others)]
+		if p.tier != tierSelf && !r.now.Before(p.avoidUntil) {
+			return p
+		}
+	}
+	return nil
+}
+
+// peerAsked answers a peer's exchange.
+func (r *Reducer) peerAsked(e PeerAsked) {
+	for _, m := range e.Members {
+		r.heardMember(m)
+	}
+	if p := r.members.peers[e.Digest.Address]; p != nil {
+		p.reachable()
+		r.askForPlan(p, e.Digest.PlanOffset)
+	}
+	reply := ExchangeReply{
+		Work: e.Work, Digest: r.digest(), Members: r.newsFor(e.Digest), Suspects: r.suspects.list(),
+	}
+	if r.inForce.offset > e.Digest.PlanOffset {
+		plan := r.inForce
+		reply.Plan = &plan
+	}
+	if !e.Digest.LogKnown && r.log.known {
+		if s, ok := r.log.snapshot(); ok {
+			reply.State = &s
+		}
+	}
+	r.emit(reply)
+}
+
+// newsFor returns the announcements that a peer with this digest may lack.
+func (r *Reducer) newsFor(d Digest) []Member {
+	if d.Members*2 <= len(r.members.peers) {
+		return r.allMembers()
+	}
+	members := r.members.takeHot()
+	if d.MembersHash == r.members.hash {
+		return members
+	}
+	for range min(randomMembersInSync, len(r.members.order)) {
+		p := r.members.order[r.random.IntN(len(r.members.order))]
+		members = append(members, p.member)
+	}
+	return members
+}
+
+func (r *Reducer) allMembers() []Member {
+	members := make([]Member, 0, len(r.members.order))
+	for _, p := range r.members.order {
+		members = append(members, p.member)
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Compare(a.ID().Address(), b.ID().Address())
+	})
+	return members
+}
+
+// peerHeard takes what a peer told.
+func (r *Reducer) peerHeard(e PeerHeard) {
+	for _, m := range e.Members {
+		r.heardMember(m)
+	}
+	for _, s := range e.Suspects {
+		r.suspectHeard(s)
+	}
+	if e.State != nil && r.log.restore(*e.State) {
+		r.logAdvanced()
+	}
+	if e.Plan != nil {
+		r.adopt(*e.Plan)
+	}
+	p := r.members.peers[e.From]
+	if p == nil {
+		return
+	}
+	p.reachable()
+	if !e.Digest.Load.IsZero() {
+		p.reported(e.Digest.Load, r.now)
+	}
+	r.askForPlan(p, e.Digest.PlanOffset)
+}
--- /dev/null
+++ b/internal/decision/reducer/node.go
@@ -0,0 +1,92 @@
+package reducer
+
+import (
+	"fmt"
+	"time"
+)
+
+// NodeID names one run of a node's process.
+type NodeID struct {
+	address     string
+	incarnation uint64
+}
+
+// NewNodeID returns the identity of the process that listens for peers on
+// address and drew incarnation at its start.
+func NewNodeID(address string, incarnation uint64) NodeID {
+	return NodeID{address: address, incarnation: incarnation}
+}
+
+// Address returns the host and port of the peers' listener.
+func (n NodeID) Address() string { return n.address }
+
+// Incarnation returns the number that the process drew at its start.
+func (n NodeID) Incarnation() uint64 { return n.incarnation }
+
+// IsZero reports whether the identity is unset.
+func (n NodeID) IsZero() bool { return n == NodeID{} }
+
+// String returns the address and the incarnation.
+func (n NodeID) String() string { return fmt.Sprintf("%s/%016x", n.address, n.incarnation) }
+
+// Member is what a node announces about itself and its upstream.
+type Member struct {
+	spec MemberSpec
+}
+
+// MemberSpec lists the announced values of a member.
+type MemberSpec struct {
+	Address     string    `json:"address"`
+	Incarnation uint64    `json:"incarnation"`
+	Started     time.Time `json:"started"`
+	Version     uint64    `json:"version"`
+	Region      string    `json:"region"`
+	Zone        string    `json:"zone"`
+	Service     string    `json:"service,omitempty"`
+	Upstream    string    `json:"upstream,omitempty"`
+	Slots       int       `json:"slots,omitempty"`
+	Operators   string    `json:"operators,omitempty"`
+	Leaving     bool      `json:"leaving,omitempty"`
+}
+
+// NewMember returns the member that spec describes.
+func NewMember(spec MemberSpec) Member { return Member{spec: spec} }
+
+// ID returns the identity of the member's process.
+func (m Member) ID() NodeID { return NewNodeID(m.spec.Address, m.spec.Incarnation) }
+
+// Leaving reports whether the member takes no new work.
+func (m Member) Leaving() bool { return m.spec.Leaving }
+
+// Region returns the region that the member runs in.
+func (m Member) Region() string { return m.spec.Region }
+
+// Service returns the service of the member's upstream, or an empty string.
+func (m Member) Service() string { return m.spec.Service }
+
+// Slots returns how many calls the member's upstream runs at a time.
+func (m Member) Slots() int { return m.spec.Slots }
+
+// Spec returns the announced values.
+func (m Member) Spec() MemberSpec { return m.spec }
+
+// Started returns when the member's process started, by its own clock.
+func (m Member) Started() time.Time { return m.spec.Started }
+
+// Upstream returns the address of the member's upstream, or an empty string.
+func (m Member) Upstream() string { return m.spec.Upstream }
+
+// Zone returns the availability zone that the member runs in.
+func (m Member) Zone() string { return m.spec.Zone }
+
+// supersedes reports whether m is a later announcement than other for the same
+// address.
+func (m Member) supersedes(other Member) bool {
+	if !m.spec.Started.Equal(other.spec.Started) {
+		return m.spec.Started.After(other.spec.Started)
+	}
+	if m.spec.Incarnation != other.spec.Incarnation {
+		return m.spec.Incarnation > other.spec.Incarnation
+	}
+	return m.spec.Version > other.spec.Version
+}
--- /dev/null
+++ b/internal/decision/reducer/peer.go
@@ -0,0 +1,246 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	serviceTimeWeight = 0.2
+	failureWeight     = 0.15
+	ejectFailureRate  = 0.5
+	ejectSlowness     = 3
+	minEjectSamples   = 5
+	minEjectMembers   = 3
+	ejectBackoff      = time.Second
+	maxEject          = 30 * time.Second
+	reportHalfLife    = 200 * time.Millisecond
+	avoidRefusing     = time.Second
+)
+
+// peer is what an entry knows of one member and its upstream.
+type peer struct {
+	member  Member
+	tier    tier
+	expires time.Time
+	// excluded tells that the plan sends no new work there.
+	excluded bool
+	weight   int
+
+	// starts holds the start of each attempt in flight, oldest first.
+	starts     [2][]time.Time
+	report     LoadReport
+	reportedAt time.Time
+	// ownAtReport counts this entry's attempts that the report includes.
+	ownAtReport int
+
+	serviceTime time.Duration
+	samples     int
+	failureRate float64
+	outcomes    int
+
+	ejectedUntil time.Time
+	ejections    int
+	// onTrial admits one attempt at a time after an ejection.
+	onTrial          bool
+	avoidUntil       time.Time
+	unreachableTimes int
+}
+
+func newPeer(member Member, t tier) *peer {
+	return &peer{member: member, tier: t, weight: 1}
+}
+
+// announced takes a later announcement of the same process.
+func (p *peer) announced(member Member) {
+	upstreamChanged := member.Upstream() != p.member.Upstream()
+	p.member = member
+	if upstreamChanged {
+		p.serviceTime = 0
+		p.samples = 0
+		p.avoidUntil = time.Time{}
+	}
+}
+
+// planned takes the plan's policy for the peer's service, or nil.
+func (p *peer) planned(s *indexedService) {
+	p.excluded = s != nil && s.plan.excludes(p.member.Upstream())
+	p.weight = 1
+	if s != nil {
+		p.weight = s.plan.regionWeight(p.member.Region())
+	}
+}
+
+func lengthIndex(l Length) int {
+	if l == LengthLong {
+		return 1
+	}
+	return 0
+}
+
+// outstanding counts this entry's attempts in flight.
+func (p *peer) outstanding() int { return len(p.starts[0]) + len(p.starts[1]) }
+
+func (p *peer) begin(l Length, now time.Time) {
+	i := lengthIndex(l)
+	p.starts[i] = append(p.starts[i], now)
+}
+
+func (p *peer) end(l Length, started time.Time) {
+	i := lengthIndex(l)
+	at := slices.IndexFunc(p.starts[i], started.Equal)
+	if at >= 0 {
+		p.starts[i] = slices.Delete(p.starts[i], at, at+1)
+	}
+}
+
+// reported takes the guard's load.
+func (p *peer) reported(l LoadReport, now time.Time) {
+	p.report = l
+	p.reportedAt = now
+	p.ownAtReport = p.outstanding()
+}
+
+// load estimates the work at the upstream now: this entry's own is exact, and
+// what others had there when the report was made fades with its age.
+func (p *peer) load(now time.Time) float64 {
+	own := float64(p.outstanding())
+	others := float64(p.report.running + p.report.queued - p.ownAtReport)
+	if others <= 0 {
+		return own
+	}
+	age := now.Sub(p.reportedAt)
+	for ; age >= reportHalfLife; age -= reportHalfLife {
+		others /= 2
+		if others < 0.1 {
+			return own
+		}
+	}
+	return own + others*(1-float64(age)/float64(2*reportHalfLife))
+}
+
+// slots returns how many calls the upstream runs at a time, at least one.
+func (p *peer) slots() float64 {
+	return float64(max(1, p.member.Slots()))
+}
+
+// answered takes the time and the status of an answer.
+func (p *peer) answered(l Length, took time.Duration, failed bool, median time.Duration) {
+	p.outcomes++
+	p.unreachableTimes = 0
+	p.avoidUntil = time.Time{}
+	failure := 0.0
+	if failed {
+		failure = 1
+	}
+	p.failureRate += failureWeight * (failure - p.failureRate)
+	if failed || l == LengthLong {
+		return
+	}
+	if p.onTrial && median > 0 && took < ejectSlowness*median {
+		p.onTrial = false
+		p.ejections = 0
+		p.serviceTime = took
+	}
+	if p.samples == 0 {
+		p.serviceTime = took
+	}
+	p.samples++
+	p.serviceTime += time.Duration(serviceTimeWeight * float64(took-p.serviceTime))
+}
+
+// expectedServiceTime is the smoothed time of short work, or the age of the
+// oldest short attempt in flight when that is longer.
+func (p *peer) expectedServiceTime(now time.Time, median time.Duration) time.Duration {
+	expected := p.serviceTime
+	if p.samples == 0 {
+		expected = median
+	}
+	if short := p.starts[0]; len(short) > 0 {
+		expected = max(expected, now.Sub(short[0]))
+	}
+	return max(expected, 100*time.Microsecond)
+}
+
+// usable reports whether a choice may take the peer.
+func (p *peer) usable(now time.Time) bool {
+	if p.member.Leaving() || p.excluded || p.weight == 0 {
+		return false
+	}
+	if now.Before(p.avoidUntil) || now.Before(p.ejectedUntil) {
+		return false
+	}
+	return !p.onTrial || p.outstanding() == 0
+}
+
+// avoid keeps choices away for a while after a refusal.
+func (p *peer) avoid(now time.Time) { p.avoidUntil = now.Add(avoidRefusing) }
+
+// unreachable keeps choices away after a failed connection or exchange.
+func (p *peer) unreachable(now time.Time) {
+	backoff := min(unreachableBackoff<<min(p.unreachableTimes, 6), maxUnreachable)
+	p.unreachableTimes++
+	p.avoidUntil = now.Add(backoff)
+}
+
+// reachable ends the backoff of an unreachable peer.
+func (p *peer) reachable() {
+	if p.unreachableTimes > 0 {
+		p.unreachableTimes = 0
+		p.avoidUntil = time.Time{}
+	}
+}
+
+// outlier reports whether the peer answers far slower than its service, or
+// fails much of the time.
+func (p *peer) outlier(now time.Time, median time.Duration) bool {
+	if p.outcomes >= minEjectSamples && p.failureRate > ejectFailureRate {
+		return true
+	}
+	if median == 0 || p.samples < minEjectSamples {
+		return false
+	}
+	return p.expectedServiceTime(now, median) > ejectSlowness*median
+}
+
+// eject keeps choices away, longer each time.
+func (p *peer) eject(now time.Time) {
+	p.ejectedUntil = now.Add(min(ejectBackoff<<min(p.ejections, 5), maxEject))
+	p.ejections++
+	p.onTrial = true
+	p.failureRate = 0
+	p.outcomes = 0
+}
+
+// refresh renews the service's median time and ejects outliers, so that no more
+// than the largest share is ejected at a time.
+func (s *servicePeers) refresh(now time.Time, settings Settings) {
+	var times []time.Duration
+	ejected := 0
+	for _, p := range s.all {
+		if p.samples > 0 && !p.onTrial {
+			times = append(times, p.serviceTime)
+		}
+		if now.Before(p.ejectedUntil) || p.onTrial {
+			ejected++
+		}
+	}
+	if len(times) > 0 {
+		slices.Sort(times)
+		s.median = times[len(times)/2]
+	}
+	if len(s.all) < minEjectMembers {
+		return
+	}
+	allowed := int(settings.MaxEjectedShare * float64(len(s.all)))
+	for _, p := range s.all {
+		if ejected >= allowed {
+			return
+		}
+		if now.Before(p.ejectedUntil) || p.onTrial || !p.outlier(now, s.median) {
+			continue
+		}
+		p.eject(now)
+		ejected++
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/settings.go
@@ -0,0 +1,86 @@
+package reducer
+
+import "time"
+
+// Settings are the limits and intervals of a node's decisions.
+type Settings struct {
+	// Policy names how an entry chooses upstreams.
+	Policy PolicyName
+	// Sample is how many upstreams a choice compares.
+	Sample int
+	// ShortReserve is how many slots long work never takes.
+	ShortReserve int
+	// QueuePerSlot bounds the guard's queue.
+	QueuePerSlot int
+	// Warmup is how long a new upstream takes to open all its slots.
+	Warmup time.Duration
+	// RetryShare is how many retries a call earns.
+	RetryShare float64
+	// RetryBurst bounds the saved retries.
+	RetryBurst float64
+	// MaxRetries bounds the retries of one call.
+	MaxRetries int
+	// KeyWindow is how long the memory of a key is kept.
+	KeyWindow time.Duration
+	// ClockSkew bounds the difference between two VMs' clocks.
+	ClockSkew time.Duration
+	// MaxKeys bounds the keys that a home remembers.
+	MaxKeys int
+	// MaxAnswerBytes bounds the stored answers of a guard.
+	MaxAnswerBytes int
+	// ExchangePeriod is the mean time between two exchanges that a node begins.
+	ExchangePeriod time.Duration
+	// Retention is how long the platform's log keeps records.
+	Retention time.Duration
+	// FreshAnswer is how long an answer spares its upstream a probe.
+	FreshAnswer time.Duration
+	// ProbePeriod is the time between two probes of a silent upstream.
+	ProbePeriod time.Duration
+	// ProbeWork is the work that one probe costs its upstream.
+	ProbeWork time.Duration
+	// ProbeWorkBudget is the work that probes may cost an upstream in a second.
+	ProbeWorkBudget time.Duration
+	// ProbeBytesBudget is the bytes that probes may cost in a second.
+	ProbeBytesBudget int
+	// CrossRegionBudget is the bytes of calls that a node sends to other
+	// regions in a second.
+	CrossRegionBudget int64
+	// MaxEjectedShare is the largest share of a service that is ejected.
+	MaxEjectedShare float64
+	// Quarantine is how long a request that crashes upstreams is refused.
+	Quarantine time.Duration
+	// Objective is the share of calls that should be answered in time.
+	Objective float64
+	// StopAllowance bounds a graceful stop.
+	StopAllowance time.Duration
+}
+
+// DefaultSettings returns the settings of a node without a settings file.
+func DefaultSettings() Settings {
+	return Settings{
+		Policy:            PolicyExpectedCompletion,
+		Sample:            3,
+		ShortReserve:      2,
+		QueuePerSlot:      4,
+		Warmup:            2 * time.Second,
+		RetryShare:        0.08,
+		RetryBurst:        10,
+		MaxRetries:        2,
+		KeyWindow:         10 * time.Minute,
+		ClockSkew:         2 * time.Second,
+		MaxKeys:           200_000,
+		MaxAnswerBytes:    32 << 20,
+		ExchangePeriod:    3 * time.Second,
+		Retention:         time.Hour,
+		FreshAnswer:       time.Second,
+		ProbePeriod:       2 * time.Second,
+		ProbeWork:         6 * time.Millisecond,
+		ProbeWorkBudget:   10 * time.Millisecond,
+		ProbeBytesBudget:  1024,
+		CrossRegionBudget: 50 << 20,
+		MaxEjectedShare:   0.34,
+		Quarantine:        10 * time.Minute,
+		Objective:         0.999,
+		StopAllowance:     10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/table.go
@@ -0,0 +1,137 @@
+package reducer
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// partitionCount is the number of shares that a service's caller-chosen keys
+// are divided into.
+const partitionCount = 32
+
+// partition is one share of a service's caller-chosen keys.
+type partition struct {
+	owner Owner
+	// cut is when the share was claimed without its memory, or zero.
+	cut time.Time
+}
+
+// homeTable says which process is home to each share of a service's
+// caller-chosen keys; its versions are log offsets.
+type homeTable struct {
+	version    int64
+	partitions [partitionCount]partition
+}
+
+// partitionOf returns the share that a caller-chosen key belongs to.
+func partitionOf(key string) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return int(h.Sum64() % partitionCount)
+}
+
+// apply makes a valid change; plan is the one in force at the change's offset.
+func (t *homeTable) apply(offset int64, change TableChange, plan Plan) {
+	changed := false
+	switch change.Kind {
+	case ChangeFirst:
+		changed = t.applyFirst(change)
+	case ChangeHandover:
+		changed = t.applyHandover(change)
+	case ChangeClaim:
+		changed = t.applyClaim(change, plan)
+	}
+	if changed {
+		t.version = offset
+	}
+}
+
+func (t *homeTable) applyFirst(change TableChange) bool {
+	if t.version != 0 {
+		return false
+	}
+	for i := range t.partitions {
+		t.partitions[i] = partition{owner: change.To}
+	}
+	return true
+}
+
+func (t *homeTable) applyHandover(change TableChange) bool {
+	changed := false
+	for _, i := range change.Partitions {
+		if i < 0 || i >= partitionCount || t.partitions[i].owner.ID() != change.From.ID() {
+			continue
+		}
+		t.partitions[i].owner = change.To
+		changed = true
+	}
+	return changed
+}
+
+// applyClaim moves the shares of a process that is proved gone: a later process
+// announces itself at its address, or the plan names its VM as gone.
+func (t *homeTable) applyClaim(change TableChange, plan Plan) bool {
+	replaced := change.To.Address == change.From.Address && change.To.Started.After(change.From.Started)
+	changed := false
+	for i := range t.partitions {
+		owner := t.partitions[i].owner
+		if owner.ID() != change.From.ID() {
+			continue
+		}
+		if !replaced && !plan.gone(owner.Upstream) {
+			continue
+		}
+		t.partitions[i] = partition{owner: change.To, cut: change.Made}
+		changed = true
+	}
+	return changed
+}
+
+// owned returns the shares whose home is the given process.
+func (t *homeTable) owned(id NodeID) []int {
+	var shares []int
+	for i, p := range t.partitions {
+		if p.owner.ID() == id {
+			shares = append(shares, i)
+		}
+	}
+	return shares
+}
+
+// owners returns each owner once, in the order of its first share.
+func (t *homeTable) owners() []Owner {
+	var owners []Owner
+	for _, p := range t.partitions {
+		if !slices.Contains(owners, p.owner) {
+			owners = append(owners, p.owner)
+		}
+	}
+	return owners
+}
+
+// snapshot restates the table of a service.
+func (t *homeTable) snapshot(service string) TableSnapshot {
+	s := TableSnapshot{Service: service, Version: t.version, Owners: t.owners()}
+	for _, p := range t.partitions {
+		s.Shares = append(s.Shares, slices.Index(s.Owners, p.owner))
+		s.Cuts = append(s.Cuts, p.cut)
+	}
+	return s
+}
+
+// newHomeTable returns the table that a snapshot restates, or nil when the
+// snapshot is malformed.
+func newHomeTable(s TableSnapshot) *homeTable {
+	if len(s.Shares) != partitionCount || len(s.Cuts) != partitionCount {
+		return nil
+	}
+	t := &homeTable{version: s.Version}
+	for i, share := range s.Shares {
+		if share < 0 || share >= len(s.Owners) {
+			return nil
+		}
+		t.partitions[i] = partition{owner: s.Owners[share], cut: s.Cuts[i]}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/edge/caller/exchange.go
@@ -0,0 +1,323 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/loop"
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+)
+
+// settler asks guards about doubtful attempts.
+type settler interface {
+	// Settle returns the outcome of an attempt, or unknown without an answer.
+	Settle(ctx context.Context, settle reducer.SettleAttempt) reducer.Outcome
+}
+
+// exchange carries out the effects for one call.
+type exchange struct {
+	entry   *Entry
+	writer  http.ResponseWriter
+	req     *http.Request
+	body    *requestBody
+	mailbox *loop.CallMailbox
+	ctx     context.Context
+	resp    *http.Response
+}
+
+// run answers the call.
+func (x *exchange) run(arrived reducer.CallArrived) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.req.Context()))
+	defer cancel()
+	x.ctx = ctx
+	x.mailbox = x.entry.Loop.OpenCall(cancel)
+	defer x.entry.Loop.CloseCall(x.mailbox)
+	arrived.Call = x.mailbox.ID()
+	x.entry.Loop.Do(arrived)
+	stop := context.AfterFunc(x.req.Context(), func() {
+		x.entry.Loop.Do(reducer.CallerLeft{Call: x.mailbox.ID()})
+	})
+	defer stop()
+	for !x.step(x.next()) {
+		continue
+	}
+}
+
+// next returns the call's next effect, or nil when nobody waits for it.
+func (x *exchange) next() reducer.CallEffect {
+	select {
+	case effect := <-x.mailbox.Effects():
+		return effect
+	default:
+	}
+	expires := x.entry.Loop.CallDeadline(x.mailbox)
+	timer := time.NewTimer(expires.Sub(x.entry.Loop.Clock()))
+	defer timer.Stop()
+	select {
+	case effect := <-x.mailbox.Effects():
+		return effect
+	case <-x.req.Context().Done():
+		return nil
+	case <-timer.C:
+	}
+	x.entry.Loop.Do(reducer.CallExpired{Call: x.mailbox.ID()})
+	select {
+	case effect := <-x.mailbox.Effects():
+		return effect
+	default:
+		return nil
+	}
+}
+
+// step carries out one effect and reports whether the call is over.
+func (x *exchange) step(effect reducer.CallEffect) bool {
+	switch e := effect.(type) {
+	case reducer.SendAttempt:
+		x.send(e)
+		return false
+	case reducer.SettleAttempt:
+		x.settle(e)
+		return false
+	case reducer.ForwardCall:
+		return x.forward(e)
+	case reducer.RelayAnswer:
+		x.relay(e)
+		return true
+	case reducer.RejectCall:
+		writeProblem(x.writer, e, "")
+		return true
+	default:
+		return true
+	}
+}
+
+// send sends one attempt and tells the reducer what came of it.
+func (x *exchange) send(e reducer.SendAttempt) {
+	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out := x.request(e.Target, e.Deadline, e.Retries).WithContext(httptrace.WithClientTrace(ctx, trace))
+	h := out.Header
+	h[peer.HeaderAttempt] = []string{string(e.Attempt)}
+	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
+	h[peer.HeaderKind] = []string{e.Kind}
+	h[peer.HeaderLength] = []string{string(e.Length)}
+	h[peer.HeaderService] = []string{serviceOf(x.req)}
+	h[peer.HeaderTo] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
+	if e.Key != "" {
+		h[peer.HeaderKey] = []string{e.Key}
+	}
+	if e.Keyed {
+		h[peer.HeaderKeyed] = []string{"1"}
+	}
+	if e.Replay {
+		h[peer.HeaderReplay] = []string{"1"}
+		out.Body = peer.SingleUse(http.NoBody)
+		out.ContentLength = 0
+		delete(h, "Expect")
+	}
+	var transport http.RoundTripper
+	if e.Target == x.entry.Self {
+		transport = x.entry.Guard
+		connected.Store(true)
+	} else {
+		transport = x.entry.Mesh.Calls(e.Length)
+	}
+	resp, err := transport.RoundTrip(out)
+	if err != nil {
+		cancel()
+		x.entry.Loop.Do(reducer.AttemptLost{
+			Call: e.Call, Attempt: e.Attempt, Sent: connected.Load(), BodySpent: x.body.spent(),
+		})
+		return
+	}
+	resp.Body = &cancelingBody{ReadCloser: resp.Body, cancel: cancel}
+	x.classify(e, resp)
+}
+
+// classify tells the reducer what kind of answer an attempt got.
+func (x *exchange) classify(e reducer.SendAttempt, resp *http.Response) {
+	if resp.Header.Get(peer.HeaderAttempt) != string(e.Attempt) {
+		_ = resp.Body.Close()
+		x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.spent()})
+		return
+	}
+	load, err := reducer.ParseLoadReport(resp.Header.Get(peer.HeaderLoad))
+	if err != nil {
+		load = reducer.LoadReport{}
+	}
+	switch reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)) {
+	case reducer.OutcomeRan:
+		x.resp = resp
+		x.entry.Loop.Do(reducer.AttemptAnswered{
+			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
+		})
+	case reducer.OutcomeNotRun:
+		drain(resp)
+		x.entry.Loop.Do(reducer.AttemptRefused{
+			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.spent(),
+			Reason: reducer.RefusalReason(resp.Header.Get(peer.HeaderReason)),
+		})
+	default:
+		drain(resp)
+		x.entry.Loop.Do(reducer.AttemptLost{
+			Call: e.Call, Attempt: e.Attempt, Sent: true, Dispatched: true, BodySpent: x.body.spent(),
+		})
+	}
+}
+
+// drain reads a short answer to its end, so that its connection can be used again.
+func drain(resp *http.Response) {
+	const maxDrainedBytes = 4 << 10
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainedBytes)
+	_ = resp.Body.Close()
+}
+
+// cancelingBody ends the attempt's context with its answer.
+type cancelingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the answer's body and ends its attempt.
+func (b *cancelingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
+
+// request is the caller's request as it is sent to another node.
+func (x *exchange) request(target reducer.NodeID, deadline time.Time, retries int) *http.Request {
+	out := &http.Request{
+		Method: x.req.Method, Host: x.req.Host, URL: x.url(target),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: peer.EndToEnd(x.req.Header), Body: x.body.next(), ContentLength: x.req.ContentLength,
+		Trailer: x.req.Trailer,
+	}
+	h := out.Header
+	delete(h, "Expect")
+	if !x.body.whole {
+		// The guard decides before the body is sent, so a refusal costs no body.
+		h["Expect"] = []string{"100-continue"}
+	}
+	h[peer.HeaderTimeout] = []string{deadline.Sub(x.entry.Loop.Clock()).String()}
+	h[peer.HeaderRetries] = []string{strconv.Itoa(retries)}
+	if host, _, err := net.SplitHostPort(x.req.RemoteAddr); err == nil {
+		h["X-Forwarded-For"] = append(h["X-Forwarded-For"][:len(h["X-Forwarded-For"]):len(h["X-Forwarded-For"])], host)
+	}
+	return out
+}
+
+func (x *exchange) url(target reducer.NodeID) *url.URL {
+	u := *x.req.URL
+	u.Scheme = x.entry.Mesh.Scheme()
+	u.Host = target.Address()
+	return &u
+}
+
+// settle asks the guard about a doubtful attempt.
+func (x *exchange) settle(e reducer.SettleAttempt) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), settleAllowance)
+	defer cancel()
+	outcome := x.entry.Mesh.Settle(ctx, e)
+	x.entry.Loop.Do(reducer.AttemptSettled{
+		Call: e.Call, Attempt: e.Attempt, Outcome: outcome, BodySpent: x.body.spent(),
+	})
+}
+
+// forward passes the call to the home of its key and reports whether it is over.
+func (x *exchange) forward(e reducer.ForwardCall) bool {
+	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out := x.request(e.Target, e.Deadline, 0).WithContext(httptrace.WithClientTrace(ctx, trace))
+	h := out.Header
+	h[peer.HeaderHome] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
+	h[peer.HeaderIdempotencyKey] = []string{e.Key}
+	for _, name := range []string{peer.HeaderKind, peer.HeaderFirstSent, peer.HeaderRetries} {
+		delete(h, name)
+		if values := x.req.Header[name]; len(values) > 0 {
+			h[name] = values
+		}
+	}
+	resp, err := x.entry.Mesh.Calls(reducer.LengthShort).RoundTrip(out)
+	if err != nil {
+		x.entry.Loop.Do(reducer.HomeLost{Call: e.Call, Sent: connected.Load()})
+		return false
+	}
+	if resp.Header.Get(peer.HeaderNotHome) != "" {
+		drain(resp)
+		if x.body.spent() {
+			x.entry.Loop.Do(reducer.HomeLost{Call: e.Call, Sent: true})
+			return false
+		}
+		x.entry.Loop.Do(reducer.HomeRefused{Call: e.Call})
+		return false
+	}
+	x.resp = resp
+	outcome := reducer.Outcome(resp.Header.Get(peer.HeaderOutcome))
+	x.copyAnswer(forwardedHeaders(resp.Header), func(_ int64, whole bool) {
+		x.entry.Loop.Do(reducer.HomeAnswered{
+			Call: e.Call, Good: whole && outcome == reducer.OutcomeRan && resp.StatusCode < http.StatusInternalServerError,
+		})
+	})
+	return true
+}
+
+// forwardedHeaders returns the headers of the home's answer for the caller.
+func forwardedHeaders(h http.Header) http.Header {
+	out := peer.EndToEnd(h)
+	for _, name := range []string{peer.HeaderAttempt, peer.HeaderKey, peer.HeaderOutcome, peer.HeaderUpstream} {
+		if values := h[name]; len(values) > 0 {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// relay passes the attempt's answer to the caller.
+func (x *exchange) relay(e reducer.RelayAnswer) {
+	header := peer.EndToEnd(x.resp.Header)
+	header[peer.HeaderAttempt] = []string{string(e.Attempt)}
+	header[peer.HeaderOutcome] = []string{string(reducer.OutcomeRan)}
+	if upstream := x.resp.Header[peer.HeaderUpstream]; len(upstream) > 0 {
+		header[peer.HeaderUpstream] = upstream
+	}
+	if e.Key != "" {
+		header[peer.HeaderKey] = []string{e.Key}
+	}
+	x.copyAnswer(header, func(answerBytes int64, whole bool) {
+		x.entry.Loop.Do(reducer.AnswerEnded{
+			Call: e.Call, Attempt: e.Attempt, Whole: whole,
+			Bytes: answerBytes + max(0, x.req.ContentLength),
+		})
+	})
+}
+
+// copyAnswer writes the answer in hand to the caller. An answer that breaks off
+// breaks the caller's connection, so that it never looks whole.
+func (x *exchange) copyAnswer(header http.Header, ended func(answerBytes int64, whole bool)) {
+	defer func() { _ = x.resp.Body.Close() }()
+	x.resp.Header = header
+	if x.req.Context().Err() != nil {
+		// The caller left, but another send of the key waits for the answer.
+		n, err := io.Copy(io.Discard, x.resp.Body)
+		ended(n, err == nil)
+		return
+	}
+	peer.WriteHead(x.writer, x.resp)
+	n, err := peer.RelayBody(x.writer, x.resp)
+	ended(n, err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/edge/caller/problem.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+)
+
+// Problem is an RFC 9457 problem document.
+type Problem struct {
+	Type    string              `json:"type"`
+	Title   string              `json:"title"`
+	Status  int                 `json:"status"`
+	Detail  string              `json:"detail"`
+	Kind    reducer.ProblemKind `json:"kind"`
+	Outcome reducer.Outcome     `json:"outcome"`
+	Key     string              `json:"key,omitempty"`
+}
+
+const (
+	problemType       = "urn:tanagerline:problem:"
+	retryAfterSeconds = 1
+)
+
+// ProblemBadRequest is a request that the entry can't read.
+const ProblemBadRequest reducer.ProblemKind = "bad-request"
+
+type problemText struct {
+	status int
+	title  string
+	remedy string
+}
+
+var problemTexts = map[reducer.ProblemKind]problemText{
+	ProblemBadRequest:              {http.StatusBadRequest, "The request can't be read", "correct the named part and send the request again"},
+	reducer.ProblemAnswerNotKept:   {http.StatusConflict, "The first answer is no longer kept", "read the state that the request was to change before sending it with a new key"},
+	reducer.ProblemDeadline:        {http.StatusGatewayTimeout, "The deadline passed", "send the request again with the same key, or allow more time in Tanagerline-Timeout"},
+	reducer.ProblemHomeUnavailable: {http.StatusServiceUnavailable, "The home of the key can't be asked", "send the request again later with the same key"},
+	reducer.ProblemKeyTooOld:       {http.StatusConflict, "The key is older than the memory of keys", "read the state that the request was to change before sending it with a new key"},
+	reducer.ProblemKeyMemoryFull:   {http.StatusServiceUnavailable, "The memory of keys is full", "send the request again later, or use a key that another node issued"},
+	reducer.ProblemLost:            {http.StatusBadGateway, "The answer was lost", "send the request again with the same key"},
+	reducer.ProblemNoUpstream:      {http.StatusServiceUnavailable, "No upstream can take the request", "send the request again later; operators find the service's members with the status command"},
+	reducer.ProblemOverloaded:      {http.StatusServiceUnavailable, "The service is overloaded", "send the request again later, with backoff"},
+	reducer.ProblemQuarantined:     {http.StatusUnprocessableEntity, "The request was in flight when upstreams crashed", "don't send it again; report it to the service's owners"},
+	reducer.ProblemStopping:        {http.StatusServiceUnavailable, "The node is stopping", "send the request to another node"},
+	reducer.ProblemUnknownKind:     {http.StatusBadRequest, "The plan has no such kind", "name one of the service's kinds in Tanagerline-Kind"},
+	reducer.ProblemUnknownService:  {http.StatusNotFound, "The plan has no such service", "begin the path with a service of the plan"},
+}
+
+// writeProblem answers a call with a problem document; detail goes before the remedy.
+func writeProblem(w http.ResponseWriter, reject reducer.RejectCall, detail string) {
+	text := problemTexts[reject.Problem]
+	problem := Problem{
+		Type: problemType + string(reject.Problem), Title: text.title, Status: text.status,
+		Detail: text.remedy, Kind: reject.Problem, Outcome: reject.Outcome, Key: reject.Key,
+	}
+	if detail != "" {
+		problem.Detail = detail + "; " + text.remedy
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(peer.HeaderOutcome, string(reject.Outcome))
+	if reject.Key != "" {
+		h.Set(peer.HeaderKey, reject.Key)
+	}
+	if reject.NotHome {
+		h.Set(peer.HeaderNotHome, "1")
+	}
+	if text.status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	w.WriteHeader(text.status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
--- /dev/null
+++ b/internal/edge/upstream/request.go
@@ -0,0 +1,14 @@
+package upstream
+
+import (
+	"net/http"
+	"net/url"
+)
+
+// cloneURL returns the request's path and query at another host.
+func cloneURL(req *http.Request, host string) *url.URL {
+	u := *req.URL
+	u.Scheme = "http"
+	u.Host = host
+	return &u
+}
--- /dev/null
+++ b/internal/mesh/node/node.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/oops"
+	"golang.org/x/net/netutil"
+
+	"github.com/tanagerline/tanagerline/internal/decision/loop"
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/caller"
+	"github.com/tanagerline/tanagerline/internal/edge/upstream"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+	"github.com/tanagerline/tanagerline/internal/operator/console"
+	"github.com/tanagerline/tanagerline/internal/operator/settings"
+	"github.com/tanagerline/tanagerline/internal/platform/stream"
+)
+
+// closeAllowance bounds the closing of listeners after a stop.
+const closeAllowance = 5 * time.Second
+
+// Node is one process beside an upstream; its exported fields are set before Run.
+type Node struct {
+	// Settings are the node's checked settings.
+	Settings settings.Node
+	// Log is the platform's log.
+	Log stream.Log
+	// Logger takes one line for each event.
+	Logger *log.Logger
+	// Started is told when all listeners are open; it may be nil.
+	Started func()
+
+	loop     *loop.Loop
+	client   *peer.Client
+	guard    *upstream.Guard
+	entry    *caller.Entry
+	appender *stream.Appender
+	stopping atomic.Bool
+	servers  []*http.Server
+	failures chan error
+	work     sync.WaitGroup
+}
+
+// Run serves until ctx ends, then stops gracefully: it takes no new work, hands
+// over its keys and finishes what is in flight.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.assemble(); err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer n.work.Wait()
+	defer cancel()
+	n.loop.Background = func(effect reducer.Effect) { n.carryOut(background, effect) }
+	if err := n.listen(); err != nil {
+		n.close()
+		return err
+	}
+	n.background(background)
+	n.Logger.Info().Str("event", "started").Str("peers", n.Settings.Listen.Peers).
+		Str("callers", n.Settings.Listen.Callers).Uint64("incarnation", n.entry.Self.Incarnation()).Msg("")
+	if n.Started != nil {
+		n.Started()
+	}
+	select {
+	case err := <-n.failures:
+		n.close()
+		return err
+	case <-ctx.Done():
+	}
+	n.Logger.Info().Str("event", "stopping").Msg("")
+	n.stopping.Store(true)
+	n.loop.Do(reducer.StopRequested{})
+	<-n.loop.Stopped()
+	n.close()
+	n.Logger.Info().Str("event", "stopped").Msg("")
+	return nil
+}
+
+// assemble makes the node's parts.
+func (n *Node) assemble() error {
+	incarnation := rand.Uint64()
+	n.failures = make(chan error, 8)
+	n.loop = &loop.Loop{
+		Clock: time.Now,
+		Reducer: &reducer.Reducer{
+			Self: reducer.MemberSpec{
+				Address: n.Settings.Listen.Peers, Incarnation: incarnation, Started: time.Now().UTC(),
+				Region: n.Settings.Region, Zone: n.Settings.Zone, Operators: n.Settings.Listen.Operators,
+			},
+			Seeds: n.Settings.Seeds, Settings: n.Settings.Decisions, Seed: rand.Uint64(),
+		},
+	}
+	n.loop.Prepare()
+	clientTLS, err := clientTLS(n.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	n.client = &peer.Client{Loop: n.loop, TLS: clientTLS}
+	n.client.Prepare()
+	n.guard = &upstream.Guard{Loop: n.loop}
+	n.guard.Prepare()
+	n.entry = &caller.Entry{
+		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
+		Self: reducer.NewNodeID(n.Settings.Listen.Peers, incarnation),
+	}
+	n.appender = &stream.Appender{Log: n.Log}
+	return nil
+}
+
+// background starts what runs beside the listeners.
+func (n *Node) background(ctx context.Context) {
+	reader := &stream.Reader{
+		Log: n.Log, Loop: n.loop, Period: n.Settings.LogPeriod,
+		Failed: func(err error) {
+			n.Logger.Warn().Str("event", "log-read-failed").Err(err).Msg("")
+		},
+	}
+	n.work.Go(func() { reader.Run(ctx) })
+	n.work.Go(func() { n.loop.Run(ctx) })
+}
+
+// carryOut starts an effect that belongs to no call.
+func (n *Node) carryOut(ctx context.Context, effect reducer.Effect) {
+	switch e := effect.(type) {
+	case reducer.AskPeer:
+		go n.client.Exchange(e)
+	case reducer.OfferHandover:
+		n.Logger.Info().Str("event", "handover-offered").Str("service", e.Change.Service).
+			Str("to", e.Change.To.Address).Int("shares", len(e.Change.Partitions)).Msg("")
+		go n.client.Handover(e)
+	case reducer.TellSuspect:
+		go n.tellSuspect(e)
+	case reducer.ProbeUpstream:
+		go n.guard.Probe(e)
+	case reducer.AppendRecord:
+		go n.append(ctx, e)
+	}
+}
+
+func (n *Node) tellSuspect(e reducer.TellSuspect) {
+	if err := n.client.TellSuspect(e); err != nil {
+		n.Logger.Warn().Str("event", "suspect-not-told").Err(err).Msg("")
+	}
+}
+
+// append adds a record to the platform's log, however long that takes.
+func (n *Node) append(ctx context.Context, e reducer.AppendRecord) {
+	var from int64
+	n.loop.Inspect(func(r *reducer.Reducer) { from = r.LogNext() })
+	offset, err := n.appender.Append(ctx, e.Record, from)
+	if err != nil {
+		n.Logger.Warn().Str("event", "append-failed").Str("record", e.Record.ID).Err(err).Msg("")
+		n.loop.Do(reducer.AppendFailed{ID: e.Record.ID})
+		return
+	}
+	n.Logger.Info().Str("event", "appended").Str("record", e.Record.ID).Int64("offset", offset).Msg("")
+	n.loop.Do(reducer.RecordAppended{ID: e.Record.ID, Offset: offset})
+}
+
+// listen opens the four listeners.
+func (n *Node) listen() error {
+	serverTLS, err := serverTLS(n.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	announcements := &upstream.Announcements{Loop: n.loop, Guard: n.guard}
+	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded}
+	operators := &console.Server{Loop: n.loop}
+	listeners := []struct {
+		address string
+		handler http.Handler
+		tls     *tls.Config
+	}{
+		{n.Settings.Listen.Callers, n.entry.Handler(), nil},
+		{n.Settings.Listen.Peers, peers.Handler(), serverTLS},
+		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
+		{n.Settings.Listen.Upstream, announcements.Handler(), nil},
+	}
+	for _, l := range listeners {
+		if err := n.serve(l.address, l.handler, l.tls); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) serve(address string, handler http.Handler, tlsConfig *tls.Config) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return oops.Wrapf(err, "listen on %s; free the address or change it in [listen]", address)
+	}
+	listener = netutil.LimitListener(listener, n.Settings.Limits.MaxConnections)
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: n.Settings.Limits.HeaderTime,
+		IdleTimeout: n.Settings.Limits.IdleTime, MaxHeaderBytes: n.Settings.Limits.HeaderBytes,
+		ErrorLog: n.Logger.Std("", 0),
+	}
+	n.servers = append(n.servers, server)
+	n.work.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.failures <- oops.Wrapf(err, "serve %s", address)
+		}
+	})
+	return nil
+}
+
+// close ends the listeners; calls in flight have ended by now.
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeAllowance)
+	defer cancel()
+	for _, server := range n.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/peer/client.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/tanagerline/tanagerline/internal/decision/loop"
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+)
+
+const (
+	controlTimeout  = 2 * time.Second
+	dialTimeout     = time.Second
+	idleControlTime = 15 * time.Second
+	idleCallTime    = 60 * time.Second
+	// answerHeadBytes bounds the head of an answer.
+	answerHeadBytes = 64 << 10
+)
+
+// Client speaks to the other nodes; its exported fields are set before Prepare.
+type Client struct {
+	// Loop takes the answers as events.
+	Loop *loop.Loop
+	// TLS is used towards peers, or nil for plain TCP.
+	TLS *tls.Config
+
+	scheme  string
+	control *http.Client
+	short   *http.Transport
+	long    *http.Transport
+}
+
+// Prepare readies the client; it must be called once before any other method.
+func (c *Client) Prepare() {
+	c.scheme = "http"
+	if c.TLS != nil {
+		c.scheme = "https"
+	}
+	control := c.transport(idleControlTime)
+	control.MaxIdleConnsPerHost = 1
+	c.control = &http.Client{Transport: control, Timeout: controlTimeout}
+	c.short = c.transport(idleCallTime)
+	c.long = c.transport(idleCallTime)
+}
+
+// transport returns a pool of connections. Short and long calls use pools of
+// their own, so that an upload's bytes never stand before a lookup's.
+func (c *Client) transport(idle time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        c.TLS,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: answerHeadBytes,
+		ExpectContinueTimeout:  time.Hour,
+		WriteBufferSize:        16 << 10,
+		ReadBufferSize:         16 << 10,
+	}
+}
+
+// Scheme returns the URL scheme of the peers' listeners.
+func (c *Client) Scheme() string { return c.scheme }
+
+// Calls returns the transport for calls of a length class.
+func (c *Client) Calls(l reducer.Length) http.RoundTripper {
+	if l == reducer.LengthLong {
+		return c.long
+	}
+	return c.short
+}
+
+// Exchange carries out AskPeer.
+func (c *Client) Exchange(ask reducer.AskPeer) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	resp, err := c.stub(ask.Address).Exchange(ctx, &ExchangeRequest{
+		Digest: digestToWire(ask.Digest), Members: membersToWire(ask.Members),
+	})
+	if err != nil {
+		c.Loop.Do(reducer.PeerSilent{Address: ask.Address})
+		return
+	}
+	heard, err := c.heard(ask.Address, resp)
+	if err != nil {
+		c.Loop.Do(reducer.PeerSilent{Address: ask.Address})
+		return
+	}
+	c.Loop.Do(heard)
+}
+
+func (c *Client) heard(address string, resp *ExchangeResponse) (reducer.PeerHeard, error) {
+	plan, err := planFromWire(resp.GetPlan())
+	if err != nil {
+		return reducer.PeerHeard{}, err
+	}
+	state, err := stateFromWire(resp.GetStateJson())
+	if err != nil {
+		return reducer.PeerHeard{}, err
+	}
+	return reducer.PeerHeard{
+		From: address, Digest: digestFromWire(resp.GetDigest()), Members: membersFromWire(resp.GetMembers()),
+		Plan: plan, State: state, Suspects: suspectsFromWire(resp.GetSuspects(), c.Loop.Clock()),
+	}, nil
+}
+
+// Handover carries out OfferHandover. An offer without an answer is repeated by
+// the reducer.
+func (c *Client) Handover(offer reducer.OfferHandover) {
+	change, err := json.Marshal(offer.Change)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	resp, err := c.stub(offer.Change.To.Address).Handover(ctx, &HandoverRequest{
+		ChangeJson: change, Keys: keysToWire(offer.Records), Final: offer.Final,
+	})
+	if err != nil {
+		return
+	}
+	c.Loop.Do(reducer.HandoverAnswered{Change: offer.Change, Accepted: resp.GetAccepted()})
+}
+
+// Settle carries out SettleAttempt; without an answer the outcome is unknown.
+func (c *Client) Settle(ctx context.Context, settle reducer.SettleAttempt) reducer.Outcome {
+	resp, err := c.stub(settle.Target.Address()).Settle(ctx, &SettleRequest{
+		Attempt: string(settle.Attempt), Incarnation: settle.Target.Incarnation(),
+	})
+	if err != nil {
+		return reducer.OutcomeUnknown
+	}
+	return reducer.Outcome(resp.GetOutcome())
+}
+
+// TellSuspect carries out TellSuspect.
+func (c *Client) TellSuspect(tell reducer.TellSuspect) error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	_, err := c.stub(tell.Address).Suspect(ctx, &SuspectRequest{
+		Suspect: suspectToWire(tell.Suspect, c.Loop.Clock()),
+	})
+	return oops.Wrapf(err, "tell peer %s of a suspect request", tell.Address)
+}
+
+func (c *Client) stub(address string) Peer {
+	return NewPeerProtobufClient(c.scheme+"://"+address, c.control)
+}
--- /dev/null
+++ b/internal/mesh/peer/convert.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+)
+
+func memberToWire(m reducer.Member) *MemberInfo {
+	s := m.Spec()
+	return &MemberInfo{
+		Address: s.Address, Incarnation: s.Incarnation, StartedUnixNanoseconds: s.Started.UnixNano(),
+		Version: s.Version, Region: s.Region, Zone: s.Zone, Service: s.Service, Upstream: s.Upstream,
+		Slots: int32(s.Slots), Leaving: s.Leaving, Operators: s.Operators,
+	}
+}
+
+func memberFromWire(m *MemberInfo) reducer.Member {
+	return reducer.NewMember(reducer.MemberSpec{
+		Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
+		Started: time.Unix(0, m.GetStartedUnixNanoseconds()).UTC(), Version: m.GetVersion(),
+		Region: m.GetRegion(), Zone: m.GetZone(), Service: m.GetService(), Upstream: m.GetUpstream(),
+		Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Operators: m.GetOperators(),
+	})
+}
+
+func membersToWire(members []reducer.Member) []*MemberInfo {
+	wire := make([]*MemberInfo, 0, len(members))
+	for _, m := range members {
+		wire = append(wire, memberToWire(m))
+	}
+	return wire
+}
+
+func membersFromWire(wire []*MemberInfo) []reducer.Member {
+	members := make([]reducer.Member, 0, len(wire))
+	for _, m := range wire {
+		members = append(members, memberFromWire(m))
+	}
+	return members
+}
+
+func digestToWire(d reducer.Digest) *StateDigest {
+	return &StateDigest{
+		Address: d.Address, Incarnation: d.Incarnation, PlanOffset: d.PlanOffset, LogNext: d.LogNext,
+		LogKnown: d.LogKnown, Members: int32(d.Members), MembersHash: d.MembersHash, Load: d.Load.String(),
+	}
+}
+
+func digestFromWire(d *StateDigest) reducer.Digest {
+	load, err := reducer.ParseLoadReport(d.GetLoad())
+	if err != nil {
+		load = reducer.LoadReport{}
+	}
+	return reducer.Digest{
+		Address: d.GetAddress(), Incarnation: d.GetIncarnation(), PlanOffset: d.GetPlanOffset(),
+		LogNext: d.GetLogNext(), LogKnown: d.GetLogKnown(), Members: int(d.GetMembers()),
+		MembersHash: d.GetMembersHash(), Load: load,
+	}
+}
+
+func planToWire(p *reducer.Plan) (*PlanInfo, error) {
+	if p == nil {
+		return nil, nil
+	}
+	data, err := json.Marshal(p.Spec())
+	if err != nil {
+		return nil, oops.Wrapf(err, "encode plan %s", p.Spec().ID)
+	}
+	return &PlanInfo{Offset: p.Offset(), Json: data}, nil
+}
+
+func planFromWire(p *PlanInfo) (*reducer.Plan, error) {
+	if p == nil {
+		return nil, nil
+	}
+	var spec reducer.PlanSpec
+	if err := json.Unmarshal(p.GetJson(), &spec); err != nil {
+		return nil, oops.Wrapf(err, "decode the plan at offset %d", p.GetOffset())
+	}
+	plan := reducer.NewPlan(p.GetOffset(), spec)
+	return &plan, nil
+}
+
+func stateToWire(s *reducer.Snapshot) ([]byte, error) {
+	if s == nil {
+		return nil, nil
+	}
+	return json.Marshal(s)
+}
+
+func stateFromWire(data []byte) (*reducer.Snapshot, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var s reducer.Snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, oops.Wrapf(err, "decode a peer's log state")
+	}
+	return &s, nil
+}
+
+// Suspects expire by what remains, because the VMs' clocks differ.
+func suspectToWire(s reducer.Suspect, now time.Time) *SuspectInfo {
+	return &SuspectInfo{
+		Fingerprint: s.Fingerprint, Crashes: s.Crashes, RemainingNanoseconds: int64(s.Expires.Sub(now)),
+	}
+}
+
+func suspectFromWire(s *SuspectInfo, now time.Time) reducer.Suspect {
+	return reducer.Suspect{
+		Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(),
+		Expires: now.Add(time.Duration(s.GetRemainingNanoseconds())),
+	}
+}
+
+func suspectsToWire(suspects []reducer.Suspect, now time.Time) []*SuspectInfo {
+	wire := make([]*SuspectInfo, 0, len(suspects))
+	for _, s := range suspects {
+		wire = append(wire, suspectToWire(s, now))
+	}
+	return wire
+}
+
+func suspectsFromWire(wire []*SuspectInfo, now time.Time) []reducer.Suspect {
+	suspects := make([]reducer.Suspect, 0, len(wire))
+	for _, s := range wire {
+		suspects = append(suspects, suspectFromWire(s, now))
+	}
+	return suspects
+}
+
+func keysToWire(records []reducer.KeyMemory) []*KeyInfo {
+	wire := make([]*KeyInfo, 0, len(records))
+	for _, k := range records {
+		wire = append(wire, &KeyInfo{
+			Key: k.Key, Ran: k.Ran, Free: k.Free, Attempt: string(k.Attempt),
+			GuardAddress: k.Guard.Address(), GuardIncarnation: k.Guard.Incarnation(),
+		})
+	}
+	return wire
+}
+
+func keysFromWire(wire []*KeyInfo) []reducer.KeyMemory {
+	records := make([]reducer.KeyMemory, 0, len(wire))
+	for _, k := range wire {
+		records = append(records, reducer.KeyMemory{
+			Key: k.GetKey(), Ran: k.GetRan(), Free: k.GetFree(), Attempt: reducer.AttemptID(k.GetAttempt()),
+			Guard: reducer.NewNodeID(k.GetGuardAddress(), k.GetGuardIncarnation()),
+		})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/operator/cli/nodecmd.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/integrii/flaggy"
+	"github.com/phuslu/log"
+
+	"github.com/tanagerline/tanagerline/internal/mesh/node"
+	"github.com/tanagerline/tanagerline/internal/operator/settings"
+	"github.com/tanagerline/tanagerline/internal/platform/stream"
+)
+
+// nodeCommand runs the process beside an upstream.
+type nodeCommand struct {
+	sub    *flaggy.Subcommand
+	config string
+}
+
+func (c *nodeCommand) attach() *flaggy.Subcommand {
+	c.sub = flaggy.NewSubcommand("node")
+	c.sub.Description = "Run the process beside an upstream; SIGTERM stops it gracefully."
+	c.sub.String(&c.config, "c", "config", "The settings file.")
+	return c.sub
+}
+
+func (c *nodeCommand) used() bool { return c.sub.Used }
+
+func (c *nodeCommand) run(ctx context.Context, _, stderr io.Writer) error {
+	if c.config == "" {
+		return UsageError{Remedy: "node: name the settings file with --config FILE"}
+	}
+	loaded, err := settings.Load(c.config)
+	if err != nil {
+		return err
+	}
+	n := &node.Node{Settings: loaded, Log: stream.NewClient(loaded.LogURL), Logger: newLogger(stderr)}
+	return n.Run(ctx)
+}
+
+// newLogger returns a logger that writes one key=value line for each event.
+func newLogger(w io.Writer) *log.Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.ConsoleWriter{Writer: w, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter},
+	}
+}
--- /dev/null
+++ b/internal/operator/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes what operators read: tables and pictures.
+package report
--- /dev/null
+++ b/internal/platform/sheet/doc.go
@@ -0,0 +1,2 @@
+// Package sheet reads and checks the sheet that planners export each morning.
+package sheet
--- /dev/null
+++ b/internal/platform/stream/doc.go
@@ -0,0 +1,2 @@
+// Package stream speaks to the platform's append-only log.
+package stream
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command tanagerline runs one node beside an upstream, and the operators' tools.
+package main
+
+import (
+	"os"
+
+	"github.com/tanagerline/tanagerline/internal/operator/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/scenario_test.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// scenarioWait bounds every wait of a scenario; it is no measure of speed.
+const scenarioWait = 60 * time.Second
+
+// scenario is the state of one script.
+type scenario struct {
+	processes map[string]*process
+}
+
+// process is one process that a script started.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+	code   int
+}
+
+type scenarioKey struct{}
+
+// setUpScenario prepares a script and ends its processes afterwards.
+func setUpScenario(env *testscript.Env) error {
+	s := &scenario{processes: map[string]*process{}}
+	env.Values[scenarioKey{}] = s
+	env.Setenv("LEDGER", filepath.Join(env.WorkDir, "ledger"))
+	env.Defer(func() {
+		for _, p := range s.processes {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+			<-p.exited
+		}
+	})
+	return os.WriteFile(filepath.Join(env.WorkDir, "ledger"), nil, 0o600)
+}
+
+func scenarioCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"await":     awaitCommand,
+		"bytecount": byteCountCommand,
+		"config":    configCommand,
+		"exits":     exitsCommand,
+		"ledger":    ledgerCommand,
+		"ports":     portsCommand,
+		"post":      postCommand,
+		"serve":     serveCommand,
+		"signal":    signalCommand,
+		"sleep":     sleepCommand,
+	}
+}
+
+func stateOf(ts *testscript.TestScript) *scenario {
+	s, _ := ts.Value(scenarioKey{}).(*scenario)
+	return s
+}
+
+func check(ts *testscript.TestScript, ok bool, usage string) {
+	if !ok {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+var (
+	portsMu    sync.Mutex
+	givenPorts = map[string]bool{}
+)
+
+// freeAddress returns a loopback address that no script got before.
+func freeAddress() (string, error) {
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if !givenPorts[address] {
+			givenPorts[address] = true
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port was found")
+}
+
+// portsCommand sets each named variable to an unused loopback address.
+func portsCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) > 0, "ports NAME...")
+	for _, name := range args {
+		address, err := freeAddress()
+		ts.Check(err)
+		ts.Setenv(name, address)
+	}
+}
+
+// configCommand writes a node's settings file NAME.ini with addresses of its own,
+// which it sets as NAME_callers, NAME_peers, NAME_operators and NAME_upstream.
+// Further words are section.key=value.
+func configCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) >= 3, "config NAME REGION ZONE [section.key=value...]")
+	name := args[0]
+	sections := map[string][]string{
+		"node":     {"region = " + args[1], "zone = " + args[2]},
+		"platform": {"log = http://" + ts.Getenv("LOG"), "poll = 100ms"},
+		"peers":    {"exchange = 200ms"},
+	}
+	for _, listener := range []string{"callers", "peers", "operators", "upstream"} {
+		variable := name + "_" + listener
+		address := ts.Getenv(variable)
+		if address == "" {
+			var err error
+			address, err = freeAddress()
+			ts.Check(err)
+			ts.Setenv(variable, address)
+		}
+		sections["listen"] = append(sections["listen"], listener+" = "+address)
+	}
+	for _, word := range args[3:] {
+		key, value, ok := strings.Cut(word, "=")
+		section, key, dotted := strings.Cut(key, ".")
+		check(ts, ok && dotted, "config NAME REGION ZONE [section.key=value...]")
+		line := key + " = " + value
+		lines := sections[section]
+		replaced := false
+		for i := range lines {
+			if strings.HasPrefix(lines[i], key+" = ") {
+				lines[i] = line
+				replaced = true
+			}
+		}
+		if !replaced {
+			sections[section] = append(lines, line)
+		}
+	}
+	var text strings.Builder
+	for section, lines := range sections {
+		fmt.Fprintf(&text, "[%s]\n%s\n", section, strings.Join(lines, "\n"))
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(name+".ini"), []byte(text.String()), 0o600))
+}
+
+// serveCommand starts a program in the background; its output goes to NAME.log.
+func serveCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) >= 2, "serve NAME PROGRAM [ARG...]")
+	path, err := exec.LookPath(args[1])
+	if err != nil {
+		path = filepath.Join(firstPath(ts), args[1])
+	}
+	output, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd := exec.Command(path, args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = append(os.Environ(), "LEDGER="+ts.Getenv("LEDGER"))
+	cmd.Stdout = output
+	cmd.Stderr = output
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	stateOf(ts).processes[args[0]] = p
+	go func() {
+		_ = cmd.Wait()
+		_ = output.Close()
+		p.code = cmd.ProcessState.ExitCode()
+		close(p.exited)
+	}()
+}
+
+func firstPath(ts *testscript.TestScript) string {
+	return filepath.SplitList(ts.Getenv("PATH"))[0]
+}
+
+// signalCommand sends a signal to a process that serve started. Kill waits for
+// its end.
+func signalCommand(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "stop": syscall.SIGTERM,
+	}
+	check(ts, !neg && len(args) >= 2, "signal kill|freeze|thaw|stop NAME...")
+	number, known := signals[args[0]]
+	check(ts, known, "signal kill|freeze|thaw|stop NAME...")
+	for _, name := range args[1:] {
+		p := stateOf(ts).processes[name]
+		if p == nil {
+			ts.Fatalf("no process %s", name)
+		}
+		ts.Check(p.cmd.Process.Signal(number))
+		if number == syscall.SIGKILL {
+			<-p.exited
+		}
+	}
+}
+
+// exitsCommand waits until a process ends, and checks its exit code.
+func exitsCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) == 2, "exits NAME CODE")
+	p := stateOf(ts).processes[args[0]]
+	if p == nil {
+		ts.Fatalf("no process %s", args[0])
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(scenarioWait):
+		ts.Fatalf("%s did not exit", args[0])
+	}
+	if code := strconv.Itoa(p.code); code != args[1] {
+		ts.Fatalf("%s exited with %s, want %s", args[0], code, args[1])
+	}
+}
+
+// awaitCommand repeats an HTTP GET until its body contains every text.
+func awaitCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, len(args) >= 1, "await URL [TEXT...]")
+	deadline := time.Now().Add(scenarioWait)
+	var last string
+	for time.Now().Before(deadline) {
+		body, err := get(args[0])
+		last = body
+		if (err == nil && containsAll(body, args[1:])) != neg {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%s never said %q; last: %s", args[0], args[1:], last)
+}
+
+func get(url string) (string, error) {
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode >= 300 {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return string(data), err
+}
+
+func containsAll(body string, texts []string) bool {
+	for _, text := range texts {
+		if !strings.Contains(body, text) {
+			return false
+		}
+	}
+	return true
+}
+
+// postCommand posts a text to a URL, such as a stand-in's fault switch.
+func postCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, len(args) >= 1, "post URL [BODY]")
+	body := strings.Join(args[1:], " ")
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Post(args[0], "application/json", strings.NewReader(body))
+	if err == nil {
+		defer func() { _ = resp.Body.Close() }()
+	}
+	failed := err != nil || resp.StatusCode >= 300
+	if failed != neg {
+		ts.Fatalf("post %s: %v %v", args[0], resp, err)
+	}
+}
+
+func sleepCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) == 1, "sleep DURATION")
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// ledgerCommand counts the ledger's lines that contain every text. The count is a
+// number, or a comparison such as <=2; await=COUNT waits for it first.
+func ledgerCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) >= 2, "ledger [await=]COUNT TEXT...")
+	want, waits := strings.CutPrefix(args[0], "await=")
+	deadline := time.Now().Add(scenarioWait)
+	for {
+		data, err := os.ReadFile(ts.Getenv("LEDGER"))
+		ts.Check(err)
+		got := 0
+		for line := range strings.Lines(string(data)) {
+			if containsAll(line, args[1:]) {
+				got++
+			}
+		}
+		if countMatches(ts, got, want) {
+			return
+		}
+		if !waits || time.Now().After(deadline) {
+			ts.Fatalf("ledger has %d lines with %q, want %s:\n%s", got, args[1:], want, data)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func countMatches(ts *testscript.TestScript, got int, want string) bool {
+	for _, comparison := range []string{"<=", ">="} {
+		if text, ok := strings.CutPrefix(want, comparison); ok {
+			n, err := strconv.Atoi(text)
+			ts.Check(err)
+			return comparison == "<=" && got <= n || comparison == ">=" && got >= n
+		}
+	}
+	n, err := strconv.Atoi(want)
+	ts.Check(err)
+	return got == n
+}
+
+// byteCountCommand checks the size of a file.
+func byteCountCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) == 2, "bytecount FILE COUNT")
+	info, err := os.Stat(ts.MkAbs(args[0]))
+	ts.Check(err)
+	if got := strconv.FormatInt(info.Size(), 10); got != args[1] {
+		ts.Fatalf("%s has %s bytes, want %s", args[0], got, args[1])
+	}
+}
