Add the demonstration and the load tool

Cause: nobody could try the path without setting processes up by hand.

Burn over all nodes is merged by the burn command.

--- a/internal/operator/cli/burncmd.go
+++ b/internal/operator/cli/burncmd.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
-	"time"
+	"sync"
 
 	"github.com/integrii/flaggy"
-	"github.com/samber/oops"
 
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
 	"github.com/tanagerline/tanagerline/internal/operator/console"
@@ -24,7 +24,7 @@
 
 func (c *burnCommand) attach() *flaggy.Subcommand {
 	c.sub = flaggy.NewSubcommand("burn")
-	c.sub.Description = "Report the service-level burn by service and kind over several windows."
+	c.sub.Description = "Report the service-level burn of all nodes by service and kind."
 	c.flags.attach(c.sub)
 	c.sub.Bool(&c.json, "j", "json", "Print JSON.")
 	c.sub.String(&c.plot, "p", "plot", "Write a picture to this PNG file.")
@@ -33,16 +33,18 @@
 
 func (c *burnCommand) used() bool { return c.sub.Used }
 
-func (c *burnCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+func (c *burnCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
 	client, err := c.flags.connect()
 	if err != nil {
 		return err
 	}
-	resp, err := client.console(c.flags.node).Burn(ctx, &console.BurnRequest{})
+	rows, silent, err := client.burn(ctx, c.flags.node)
 	if err != nil {
-		return oops.Wrapf(err, "ask node %s; check --node and that the node runs", c.flags.node)
+		return err
+	}
+	for _, address := range silent {
+		_, _ = fmt.Fprintf(stderr, "node %s does not answer; its calls are not counted\n", address)
 	}
-	rows := burnRows(resp)
 	if c.plot != "" {
 		if err := report.PlotBurn(c.plot, rows); err != nil {
 			return err
@@ -56,17 +58,25 @@
 	return report.WriteBurn(stdout, rows)
 }
 
-func burnRows(resp *console.BurnResponse) []reducer.BurnRow {
-	var rows []reducer.BurnRow
-	for _, s := range resp.GetSeries() {
-		row := reducer.BurnRow{Service: s.GetService(), Kind: s.GetKind()}
-		for _, w := range s.GetWindows() {
-			row.Windows = append(row.Windows, reducer.BurnWindow{
-				Window: time.Duration(w.GetWindowSeconds()) * time.Second,
-				Good:   w.GetGood(), Bad: w.GetBad(), Burn: w.GetBurn(),
-			})
-		}
-		rows = append(rows, row)
+// burn adds up the burn of every member that the node at address knows, and
+// returns the members that do not answer.
+func (o *operators) burn(ctx context.Context, address string) ([]reducer.BurnRow, []string, error) {
+	status, err := o.status(ctx, address)
+	if err != nil {
+		return nil, nil, err
 	}
-	return rows
+	var mu sync.Mutex
+	var rows [][]reducer.BurnRow
+	var silent []string
+	eachMember(status.Members, func(_ int, m reducer.MemberSpec) {
+		resp, err := o.console(m.Operators).Burn(ctx, &console.BurnRequest{})
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			silent = append(silent, m.Address)
+			return
+		}
+		rows = append(rows, console.BurnRows(resp))
+	})
+	return report.MergeBurn(rows), silent, nil
 }
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -38,7 +38,9 @@
 func commands() []command {
 	return []command{
 		&burnCommand{},
+		&demoCommand{},
 		&explainCommand{},
+		&loadCommand{},
 		&nodeCommand{},
 		&settingsCommand{},
 		&sheetCommand{},
--- a/internal/operator/cli/operators.go
+++ b/internal/operator/cli/operators.go
@@ -81,23 +81,30 @@
 	err    error
 }
 
-// all asks every member that the node at address knows, several at a time.
+// all asks every member that the node at address knows for its status.
 func (o *operators) all(ctx context.Context, address string) ([]nodeAnswer, error) {
 	first, err := o.status(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	answers := make([]nodeAnswer, len(first.Members))
+	eachMember(first.Members, func(i int, m reducer.MemberSpec) {
+		status, err := o.status(ctx, m.Operators)
+		answers[i] = nodeAnswer{member: m, status: status, err: err}
+	})
+	return answers, nil
+}
+
+// eachMember asks for every member, several at a time.
+func eachMember(members []reducer.MemberStatus, ask func(i int, m reducer.MemberSpec)) {
 	slots := make(chan struct{}, askedAtOnce)
 	var group sync.WaitGroup
-	for i, m := range first.Members {
+	for i, m := range members {
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			status, err := o.status(ctx, m.Operators)
-			answers[i] = nodeAnswer{member: m.MemberSpec, status: status, err: err}
+			ask(i, m.MemberSpec)
 		})
 	}
 	group.Wait()
-	return answers, nil
 }
--- a/internal/operator/report/burn.go
+++ b/internal/operator/report/burn.go
@@ -1,8 +1,10 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -21,6 +23,41 @@
 	barWidth   = 14
 )
 
+// MergeBurn adds up the burn of several nodes.
+func MergeBurn(nodes [][]reducer.BurnRow) []reducer.BurnRow {
+	var merged []reducer.BurnRow
+	for _, rows := range nodes {
+		for _, row := range rows {
+			at := slices.IndexFunc(merged, func(m reducer.BurnRow) bool {
+				return m.Service == row.Service && m.Kind == row.Kind
+			})
+			if at < 0 {
+				row.Windows = slices.Clone(row.Windows)
+				merged = append(merged, row)
+				continue
+			}
+			for i := range merged[at].Windows {
+				merged[at].Windows[i] = addWindows(merged[at].Windows[i], row.Windows[i])
+			}
+		}
+	}
+	slices.SortFunc(merged, func(a, b reducer.BurnRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return merged
+}
+
+// addWindows adds two nodes' counts; the burn is the mean weighted by calls.
+func addWindows(a, b reducer.BurnWindow) reducer.BurnWindow {
+	callsA := float64(a.Good + a.Bad)
+	callsB := float64(b.Good + b.Bad)
+	sum := reducer.BurnWindow{Window: a.Window, Good: a.Good + b.Good, Bad: a.Bad + b.Bad}
+	if callsA+callsB > 0 {
+		sum.Burn = (a.Burn*callsA + b.Burn*callsB) / (callsA + callsB)
+	}
+	return sum
+}
+
 // PlotBurn writes a picture of the service-level burn to a PNG file.
 func PlotBurn(path string, rows []reducer.BurnRow) error {
 	p := plot.New()
