Check at-most-once and not-run over several reducers under faults

A rapid model joins reducers by a fake that loses, delays, reorders and repeats messages, and kills, freezes, stops and replaces processes. It checks after each step that no key runs twice, that no attempt is both reported not run and started, slots, leaves, the plan's offset and agreement on the log.

Ruled out as faults of the fake: settle answers later than their asker waits, and attempts delivered after their connection is closed.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -17,8 +17,18 @@
 	records     map[AttemptID]*attemptRecord
 	expiring    []*attemptRecord
 	answerBytes int
+	expiredAt   time.Time
+	pausedUntil time.Time
 }
 
+const (
+	// longPause is a time without ticks that only a frozen process sees.
+	longPause = 5 * time.Second
+	// afterPause is how long memory is kept after a pause, so that requests that
+	// waited in the sockets meet what was known when they were sent.
+	afterPause = 10 * time.Second
+)
+
 func (m *attemptMemory) init() { m.records = map[AttemptID]*attemptRecord{} }
 
 // open remembers an attempt that waits to run.
@@ -76,6 +86,13 @@
 // expire forgets attempts whose window has passed; one that is still under way
 // goes to the end of the line.
 func (m *attemptMemory) expire(now time.Time) {
+	if !m.expiredAt.IsZero() && now.Sub(m.expiredAt) > longPause {
+		m.pausedUntil = now.Add(afterPause)
+	}
+	m.expiredAt = now
+	if now.Before(m.pausedUntil) {
+		return
+	}
 	for len(m.expiring) > 0 {
 		first := m.expiring[0]
 		if now.Before(first.expires) {
@@ -92,6 +109,12 @@
 	}
 }
 
+// attemptExpiry is when an attempt that arrives now may be forgotten: long after
+// its home stops asking about it.
+func (r *Reducer) attemptExpiry() time.Time {
+	return r.now.Add(2 * r.Settings.KeyWindow)
+}
+
 // settleAsked tells the outcome of an attempt. One that has not started never
 // will: the answer "not run" is recorded before it is given.
 func (r *Reducer) settleAsked(e SettleAsked) {
@@ -105,7 +128,7 @@
 		r.emit(SettleReply{Work: e.Work, Outcome: OutcomeUnknown})
 		return
 	case record == nil:
-		r.memory.forbid(e.Attempt, r.now.Add(r.Settings.KeyWindow))
+		r.memory.forbid(e.Attempt, r.attemptExpiry())
 		r.emit(SettleReply{Work: e.Work, Outcome: OutcomeNotRun})
 		return
 	case record.work != nil && !record.work.running:
@@ -121,7 +144,7 @@
 	switch {
 	case record == nil:
 		r.refuseWork(w, RefusalAnswerNotKept)
-	case record.outcome == OutcomeRunning:
+	case record.outcome == OutcomeRunning || record.work != nil:
 		w.joins = w.attempt
 		r.guard.works[w.id] = w
 		record.joined = append(record.joined, w.id)
@@ -149,6 +172,10 @@
 }
 
 func (r *Reducer) answerResend(id WorkID, record *attemptRecord) {
+	if record.outcome == OutcomeNotRun {
+		r.refuseWork(&work{id: id}, RefusalSettled)
+		return
+	}
 	if record.answer == nil {
 		r.refuseWork(&work{id: id}, RefusalAnswerNotKept)
 		return
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -21,10 +21,13 @@
 	forwarded   bool
 	callerLeft  bool
 	answered    bool
-	status      int
-	counted     bool
-	tried       []*peer
-	attempt     *attempt
+	// mayHaveRun tells that an attempt of an idempotent call was lost, so that
+	// the call can't be reported as not run any more.
+	mayHaveRun bool
+	status     int
+	counted    bool
+	tried      []*peer
+	attempt    *attempt
 	// memory is the key's record when this call holds it open.
 	memory *keyRecord
 }
@@ -128,6 +131,7 @@
 	if c.memory != nil {
 		c.memory.attempt = a.id
 		c.memory.guard = a.target
+		c.memory.sent = r.now
 	}
 	r.counts.Attempts++
 	r.trace.add(r.now, c, p, TraceChosen)
@@ -288,12 +292,13 @@
 	case a.replay:
 		r.reject(c, OutcomeUnknown, ProblemLost)
 	case c.keyed && !e.Dispatched:
-		r.emit(SettleAttempt{Call: c.id, Attempt: a.id, Target: a.target})
+		r.settle(c, a.started)
 	case c.keyed:
 		r.rejectDoubtful(c)
 	case e.BodySpent || !r.mayRetry(c):
 		r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
 	default:
+		c.mayHaveRun = true
 		r.dispatch(c)
 	}
 }
@@ -361,12 +366,16 @@
 	if c == nil || c.answered {
 		return
 	}
+	inFlight := c.attempt != nil && !c.attempt.ended
 	r.endAttempt(c)
-	if c.memory != nil {
+	switch {
+	case c.memory != nil:
 		r.rejectDoubtful(c)
-		return
+	case inFlight:
+		r.reject(c, OutcomeUnknown, ProblemDeadline)
+	default:
+		r.reject(c, r.outcomeBeforeHome(c), ProblemDeadline)
 	}
-	r.reject(c, r.outcomeBeforeHome(c), ProblemDeadline)
 }
 
 // callEnded forgets a call, however it ended.
@@ -394,6 +403,10 @@
 	if c.memory != nil {
 		r.closeKey(c, keyFree)
 	}
+	if c.mayHaveRun {
+		r.reject(c, OutcomeUnknown, problem)
+		return
+	}
 	r.reject(c, OutcomeNotRun, problem)
 }
 
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -31,6 +31,7 @@
 	ProblemHomeUnavailable ProblemKind = "key-home-unavailable"
 	ProblemKeyTooOld       ProblemKind = "key-too-old"
 	ProblemKeyMemoryFull   ProblemKind = "key-memory-full"
+	ProblemKeyReused       ProblemKind = "key-reused"
 	ProblemLost            ProblemKind = "answer-lost"
 	ProblemNoUpstream      ProblemKind = "no-upstream"
 	ProblemOverloaded      ProblemKind = "overloaded"
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -187,12 +187,17 @@
 		r.replayWork(w)
 		return
 	}
+	if record := r.memory.records[w.attempt]; record != nil && (record.work != nil || record.outcome != OutcomeNotRun) {
+		// The attempt was delivered twice; the second copy shares the first's fate.
+		r.replayWork(w)
+		return
+	}
 	if reason := r.refusalFor(w, e.Service); reason != "" {
 		r.refuseWork(w, reason)
 		return
 	}
 	if w.keyed {
-		r.memory.open(w, r.now.Add(r.Settings.KeyWindow))
+		r.memory.open(w, r.attemptExpiry())
 	}
 	r.guard.works[w.id] = w
 	r.guard.queueOf(w.length).push(w)
@@ -258,10 +263,16 @@
 func (r *Reducer) dropQueued(w *work, reason RefusalReason) {
 	r.guard.queueOf(w.length).remove(w)
 	delete(r.guard.works, w.id)
-	r.memory.close(w, OutcomeNotRun, nil)
+	r.closeUnstarted(w)
 	r.refuseWork(w, reason)
 }
 
+// closeUnstarted notes that a queued attempt never ran.
+func (r *Reducer) closeUnstarted(w *work) {
+	r.memory.close(w, OutcomeNotRun, nil)
+	r.answerJoined(w.attempt)
+}
+
 func (r *Reducer) refuseWork(w *work, reason RefusalReason) {
 	r.counts.Refused++
 	r.emit(RefuseWork{Work: w.id, Reason: reason})
@@ -280,7 +291,7 @@
 		}
 		if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
 			delete(g.works, w.id)
-			r.memory.close(w, OutcomeNotRun, nil)
+			r.closeUnstarted(w)
 			r.refuseWork(w, RefusalDeadline)
 			continue
 		}
--- a/internal/decision/reducer/handover.go
+++ b/internal/decision/reducer/handover.go
@@ -93,7 +93,7 @@
 	if !r.jobDue("first/"+service, r.rank("first/"+service)) {
 		return
 	}
-	r.appendChange(TableChange{Service: service, Kind: ChangeFirst, To: r.selfOwner(), Made: r.now})
+	r.appendChange(TableChange{Sequence: r.nextSequence(), Service: service, Kind: ChangeFirst, To: r.selfOwner(), Made: r.now})
 }
 
 // claimShares takes over the shares of processes that are proved gone: an earlier
@@ -117,7 +117,10 @@
 			if !r.jobDue(job, rank) {
 				continue
 			}
-			r.appendChange(TableChange{Service: service, Kind: ChangeClaim, From: owner, To: r.selfOwner(), Made: r.now})
+			r.appendChange(TableChange{
+				Sequence: r.nextSequence(), Service: service, Kind: ChangeClaim,
+				From: owner, To: r.selfOwner(), Made: r.now,
+			})
 		}
 	}
 }
@@ -218,7 +221,7 @@
 func (r *Reducer) beginHandover(service string, target *peer, shares []int) {
 	h := &handover{
 		change: TableChange{
-			Service: service, Kind: ChangeHandover, From: r.selfOwner(),
+			Sequence: r.nextSequence(), Service: service, Kind: ChangeHandover, From: r.selfOwner(),
 			To: ownerOf(target.member), Partitions: slices.Clone(shares), Made: r.now,
 		},
 		final:  r.stopping,
@@ -238,18 +241,15 @@
 // goes as doubtful: the next home settles its attempt before it runs the key.
 func (r *Reducer) memoryOf(change TableChange) []KeyMemory {
 	var memory []KeyMemory
-	for _, key := range slices.Sorted(maps.Keys(r.keys.records)) {
-		record := r.keys.records[key]
-		if record.service != change.Service || !slices.Contains(change.Partitions, partitionOf(key)) {
+	for _, name := range slices.SortedFunc(maps.Keys(r.keys.records), keyName.compare) {
+		record := r.keys.records[name]
+		if record.service != change.Service || !slices.Contains(change.Partitions, partitionOf(record.key)) {
 			continue
 		}
-		if _, issued := parseIssuedKey(key); issued {
+		if _, issued := parseIssuedKey(record.key); issued {
 			continue
 		}
-		memory = append(memory, KeyMemory{
-			Key: key, Ran: record.state == keyRan, Free: record.state == keyFree,
-			Attempt: record.attempt, Guard: record.guard, Expires: record.expires,
-		})
+		memory = append(memory, record.memory())
 	}
 	return memory
 }
@@ -271,6 +271,7 @@
 		target := homes[h.offers%len(homes)]
 		h.change.To = ownerOf(target.member)
 	}
+	h.change.Sequence = r.nextSequence()
 	h.final = true
 	r.offer(h)
 }
@@ -278,7 +279,8 @@
 // handoverAnswered takes a peer's answer to an offer.
 func (r *Reducer) handoverAnswered(e HandoverAnswered) {
 	h := r.moves[e.Change.Service]
-	if h == nil || h.change.To.ID() != e.Change.To.ID() || !slices.Equal(h.change.Partitions, e.Change.Partitions) {
+	if h == nil || h.change.Sequence != e.Change.Sequence {
+		// The answer is to an earlier offer, whose memory may be out of date.
 		return
 	}
 	if !e.Accepted {
@@ -320,9 +322,8 @@
 // are this node's only when the log says so.
 func (r *Reducer) handoverOffered(e HandoverOffered) {
 	accepted := !r.stopping && e.Change.To.ID() == r.selfID() && len(e.Change.Partitions) > 0
-	if accepted && len(r.keys.records)+len(e.Records) > r.Settings.MaxKeys {
-		accepted = false
-	}
+	accepted = accepted && len(r.keys.records)+len(e.Records) <= r.Settings.MaxKeys
+	accepted = accepted && r.newestOffer(e.Change)
 	if accepted {
 		for _, m := range e.Records {
 			r.learnKey(e.Change.Service, m)
@@ -335,14 +336,26 @@
 	r.emit(HandoverReply{Work: e.Work, Accepted: accepted})
 }
 
-// learnKey takes the memory of one key; what this node knows itself is newer.
+// newestOffer reports whether no later offer of the same shares' owner came
+// before this one, whose memory would then be out of date.
+func (r *Reducer) newestOffer(change TableChange) bool {
+	from := change.From.ID()
+	if r.offersSeen[from] > change.Sequence {
+		return false
+	}
+	r.offersSeen[from] = change.Sequence
+	return true
+}
+
+// learnKey takes the memory of one key from the owner of its share.
 func (r *Reducer) learnKey(service string, m KeyMemory) {
-	if known := r.keys.records[m.Key]; known != nil && known.state == keyOpen {
+	known := r.keys.find(service, m.Key)
+	if known != nil && known.state == keyOpen {
 		return
 	}
 	record := &keyRecord{
-		key: m.Key, service: service, state: keyDoubtful,
-		attempt: m.Attempt, guard: m.Guard, expires: r.now.Add(r.Settings.KeyWindow),
+		key: m.Key, service: service, state: keyDoubtful, attempt: m.Attempt, guard: m.Guard,
+		sent: m.Sent, fingerprint: m.Fingerprint, expires: r.keyExpiry(),
 	}
 	if m.Ran {
 		record.state = keyRan
--- a/internal/decision/reducer/home.go
+++ b/internal/decision/reducer/home.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -22,37 +23,66 @@
 
 // keyRecord is a home's memory of one key.
 type keyRecord struct {
-	key     string
-	service string
-	state   keyState
-	attempt AttemptID
-	guard   NodeID
+	key         string
+	service     string
+	fingerprint uint64
+	state       keyState
+	attempt     AttemptID
+	guard       NodeID
+	// sent is when the attempt was sent; guards remember it for longer than
+	// homes ask about it.
+	sent    time.Time
 	expires time.Time
 	waiting []*call
 }
 
+// memory is the record on its way to the next home.
+func (k *keyRecord) memory() KeyMemory {
+	return KeyMemory{
+		Key: k.key, Fingerprint: k.fingerprint, Ran: k.state == keyRan, Free: k.state == keyFree,
+		Attempt: k.attempt, Guard: k.guard, Sent: k.sent,
+	}
+}
+
 // KeyMemory is a home's memory of one key on its way to the next home.
 type KeyMemory struct {
-	Key     string
-	Ran     bool
-	Free    bool
-	Attempt AttemptID
-	Guard   NodeID
-	Expires time.Time
+	Key         string
+	Fingerprint uint64
+	Ran         bool
+	Free        bool
+	Attempt     AttemptID
+	Guard       NodeID
+	Sent        time.Time
+}
+
+// keyName tells the same key of two services apart.
+type keyName struct {
+	service string
+	key     string
+}
+
+func (n keyName) compare(other keyName) int {
+	return cmp.Or(cmp.Compare(n.service, other.service), cmp.Compare(n.key, other.key))
 }
 
 // keyMemory is a home's bounded memory of keys.
 type keyMemory struct {
-	records map[string]*keyRecord
+	records map[keyName]*keyRecord
 	// expiring holds the records by the time of their first expiry.
 	expiring []*keyRecord
 }
 
-func (m *keyMemory) init() { m.records = map[string]*keyRecord{} }
+func (m *keyMemory) init() { m.records = map[keyName]*keyRecord{} }
+
+func (k *keyRecord) name() keyName { return keyName{service: k.service, key: k.key} }
+
+func (m *keyMemory) find(service, key string) *keyRecord {
+	return m.records[keyName{service: service, key: key}]
+}
 
 // add remembers a key; it is expired later than every key before it.
 func (m *keyMemory) add(record *keyRecord) {
-	m.records[record.key] = record
+	m.records[record.name()] = record
 	m.expiring = append(m.expiring, record)
 }
 
@@ -61,15 +91,15 @@
 func (m *keyMemory) expire(now time.Time) {
 	for len(m.expiring) > 0 {
 		first := m.expiring[0]
-		if m.records[first.key] == first && (first.state == keyOpen || now.Before(first.expires)) {
+		if m.records[first.name()] == first && (first.state == keyOpen || now.Before(first.expires)) {
 			if first.state != keyOpen {
 				return
 			}
 			m.expiring = append(m.expiring[1:], first)
 			return
 		}
-		if m.records[first.key] == first {
-			delete(m.records, first.key)
+		if m.records[first.name()] == first {
+			delete(m.records, first.name())
 		}
 		m.expiring = m.expiring[1:]
 	}
@@ -77,7 +107,7 @@
 
 // stopWaiting forgets that a call waits for another send of its key.
 func (m *keyMemory) stopWaiting(c *call) {
-	record := m.records[c.key]
+	record := m.find(c.service, c.key)
 	if record == nil {
 		return
 	}
@@ -136,7 +166,7 @@
 		return
 	}
 	if r.moving(c.service, i) {
-		if record := r.keys.records[c.key]; record != nil && record.state == keyRan {
+		if record := r.keys.find(c.service, c.key); record != nil && record.state == keyRan {
 			r.useKey(c, time.Time{}, time.Time{})
 			return
 		}
@@ -212,11 +242,16 @@
 // useKey runs, replays or refuses a call at the home of its key. Born is when
 // the key was made, or zero; cut is when the key's share lost its memory, or zero.
 func (r *Reducer) useKey(c *call, born, cut time.Time) {
-	record := r.keys.records[c.key]
+	record := r.keys.find(c.service, c.key)
 	if record == nil {
 		r.openNewKey(c, born, cut)
 		return
 	}
+	if record.fingerprint != c.fingerprint {
+		// Another request must not get this one's answer.
+		r.reject(c, OutcomeNotRun, ProblemKeyReused)
+		return
+	}
 	switch record.state {
 	case keyOpen:
 		record.waiting = append(record.waiting, c)
@@ -228,7 +263,7 @@
 		r.replay(c)
 	case keyDoubtful:
 		c.attempt = r.oldAttempt(c, record)
-		r.emit(SettleAttempt{Call: c.id, Attempt: record.attempt, Target: record.guard})
+		r.settle(c, record.sent)
 	}
 }
 
@@ -249,12 +284,29 @@
 		r.reject(c, OutcomeNotRun, ProblemStopping)
 		return
 	}
-	record := &keyRecord{key: c.key, service: c.service, expires: r.now.Add(r.Settings.KeyWindow)}
+	record := &keyRecord{key: c.key, service: c.service, fingerprint: c.fingerprint, expires: r.keyExpiry()}
 	r.keys.add(record)
 	r.openKey(c, record)
 	r.dispatch(c)
 }
 
+// keyExpiry is when a key that is used now may be forgotten. A caller whose clock
+// runs ahead dates its keys late, so the skew is added to the window.
+func (r *Reducer) keyExpiry() time.Time {
+	return r.now.Add(r.Settings.KeyWindow + r.Settings.ClockSkew)
+}
+
+// settle asks the guard about a doubtful attempt that was sent at the given time.
+// One that the guard may have forgotten stays doubtful: its word "not run" would
+// be no proof.
+func (r *Reducer) settle(c *call, sent time.Time) {
+	if r.now.Sub(sent) > r.Settings.KeyWindow {
+		r.rejectDoubtful(c)
+		return
+	}
+	r.emit(SettleAttempt{Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target})
+}
+
 // lostMemory reports whether a key may have run before its share's memory was
 // lost.
 func (r *Reducer) lostMemory(born, cut time.Time) bool {
@@ -282,7 +334,7 @@
 		state = keyFree
 	}
 	record.state = state
-	record.expires = r.now.Add(r.Settings.KeyWindow)
+	record.expires = r.keyExpiry()
 	waiting := record.waiting
 	record.waiting = nil
 	for _, w := range waiting {
@@ -319,7 +371,7 @@
 
 // settledFree runs a key whose doubtful attempt turned out not to have run.
 func (r *Reducer) settledFree(c *call) {
-	record := r.keys.records[c.key]
+	record := r.keys.find(c.service, c.key)
 	switch {
 	case record == nil:
 		r.reject(c, OutcomeUnknown, ProblemKeyTooOld)
--- /dev/null
+++ b/internal/decision/reducer/model_test.go
@@ -0,0 +1,198 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/ulid/v2"
+	"pgregory.net/rapid"
+)
+
+// worldKey is a key that a caller chose, with when it was first sent.
+type worldKey struct {
+	name  string
+	dated bool
+	first time.Time
+}
+
+func worldPlan(id string, base int64, leaving ...string) PlanSpec {
+	return PlanSpec{ID: id, Base: base, Operator: "planner", Services: []ServicePlan{{
+		Name: worldService, Leaving: leaving,
+		Kinds: []Kind{
+			{Name: "read", Weight: 1, Allowance: 3 * time.Second, Length: LengthShort, Idempotent: true},
+			{Name: "sign", Weight: 2, Allowance: 5 * time.Second, Length: LengthShort},
+			{Name: "upload", Weight: 1, Allowance: 20 * time.Second, Length: LengthLong, Idempotent: true},
+		},
+	}}}
+}
+
+// datedKey returns a ULID of the world's time; its randomness is the counter's.
+func datedKey(now time.Time, counter int) string {
+	var id ulid.ULID
+	_ = id.SetTime(ulid.Timestamp(now))
+	id[15] = byte(counter)
+	id[14] = byte(counter >> 8)
+	return id.String()
+}
+
+// TestInvariantsUnderFaults interleaves calls, messages, kills, freezes, stops,
+// plans and log outages over several nodes, and checks after every step that no
+// key runs twice and that no attempt is both reported not run and started.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		zones := []string{"amman-1", "amman-2"}
+		for i, address := range []string{"a", "b", "c"} {
+			w.boot(address, zones[i%2])
+		}
+		w.log = append(w.log, Record{ID: "p0", Plan: ptr(worldPlan("p0", 0))})
+		w.settleDown(20)
+		keys := []*worldKey{}
+		counter := 0
+		pickNode := func(t *rapid.T) *worldNode {
+			return w.nodes[rapid.SampledFrom(w.addresses()).Draw(t, "node")]
+		}
+		pickPending := func(t *rapid.T) int {
+			if len(w.pending) == 0 {
+				t.Skip("nothing is on its way")
+			}
+			return rapid.IntRange(0, len(w.pending)-1).Draw(t, "message")
+		}
+		resend := func(t *rapid.T) {
+			if len(keys) == 0 {
+				t.Skip("no keys")
+			}
+			k := keys[max(0, len(keys)-1-rapid.IntRange(0, 5).Draw(t, "key"))]
+			if !k.dated && w.now.Sub(k.first) >= worldWindow {
+				t.Skip("callers don't send undated keys again after the window")
+			}
+			pickNode(t).call(keyName{service: worldService, key: k.name}, true, k.name, w.now.Add(5*time.Second), false, nil)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"read": func(t *rapid.T) {
+				n := pickNode(t)
+				n.call(keyName{service: worldService}, false, "", w.now.Add(3*time.Second), false, nil)
+			},
+			"upload": func(t *rapid.T) {
+				n := pickNode(t)
+				n.callKind("upload", keyName{service: worldService}, false, "", w.now.Add(20*time.Second), false, nil)
+			},
+			"sign without key": func(t *rapid.T) {
+				n := pickNode(t)
+				n.call(keyName{service: worldService}, true, "", w.now.Add(5*time.Second), false, nil)
+			},
+			"sign with new key": func(t *rapid.T) {
+				counter++
+				k := &worldKey{dated: rapid.Bool().Draw(t, "dated"), first: w.now}
+				if k.dated {
+					k.name = datedKey(w.now, counter)
+				} else {
+					k.name = "booking-" + uuid.NewSHA1(uuid.NameSpaceOID, []byte{byte(counter), byte(counter >> 8)}).String()
+				}
+				keys = append(keys, k)
+				n := pickNode(t)
+				n.call(keyName{service: worldService, key: k.name}, true, k.name, w.now.Add(5*time.Second), false, nil)
+			},
+			"sign with issued key": func(t *rapid.T) {
+				n := pickNode(t)
+				if !n.alive || n.frozen {
+					t.Skip("the node does not answer")
+				}
+				k := &worldKey{dated: true, first: w.now, name: n.r.issueKey().String()}
+				keys = append(keys, k)
+				pickNode(t).call(keyName{service: worldService, key: k.name}, true, k.name, w.now.Add(5*time.Second), false, nil)
+			},
+			"resend":       resend,
+			"resend again": resend,
+			"deliver":      func(t *rapid.T) { w.deliver(pickPending(t)) },
+			"deliver more": func(t *rapid.T) {
+				for range min(20, len(w.pending)) {
+					w.deliver(rapid.IntRange(0, len(w.pending)-1).Draw(t, "message"))
+					if len(w.pending) == 0 {
+						return
+					}
+				}
+			},
+			"lose": func(t *rapid.T) { w.lose(pickPending(t)) },
+			"end work": func(t *rapid.T) {
+				n := pickNode(t)
+				if !n.alive || n.frozen {
+					t.Skip("the node does not answer")
+				}
+				for _, id := range slices.Sorted(maps.Keys(n.works)) {
+					if k := n.works[id]; k != nil && k.running {
+						n.endWork(id, rapid.SampledFrom([]string{"answered", "answered", "broken", "refused"}).Draw(t, "how"))
+						return
+					}
+				}
+			},
+			"advance": func(t *rapid.T) {
+				w.advance(time.Duration(rapid.Int64Range(1, int64(2*time.Second)).Draw(t, "time")))
+			},
+			"advance far": func(t *rapid.T) {
+				w.advance(rapid.SampledFrom([]time.Duration{6 * time.Second, 30 * time.Second, 70 * time.Second, 3 * time.Minute}).Draw(t, "time"))
+			},
+			"read log": func(t *rapid.T) { w.readLog(pickNode(t), rapid.IntRange(1, 5).Draw(t, "records")) },
+			"log down": func(*rapid.T) { w.logUp = false },
+			"log up":   func(*rapid.T) { w.logUp = true },
+			"freeze":   func(t *rapid.T) { pickNode(t).freeze() },
+			"thaw":     func(t *rapid.T) { pickNode(t).thaw() },
+			"kill":     func(t *rapid.T) { pickNode(t).alive = false },
+			"boot": func(t *rapid.T) {
+				address := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "address")
+				if n := w.nodes[address]; n != nil && n.alive {
+					t.Skip("the address is taken")
+				}
+				w.boot(address, "amman-1")
+			},
+			"stop": func(t *rapid.T) {
+				n := pickNode(t)
+				n.stop()
+			},
+			"drain": func(t *rapid.T) {
+				n := pickNode(t)
+				if !n.alive || n.frozen {
+					t.Skip("the node does not answer")
+				}
+				n.told = true
+				n.step(UpstreamAnnounced{Service: worldService, Address: "u" + n.address, Slots: worldSlots, Draining: true})
+			},
+			"publish": func(t *rapid.T) {
+				n := pickNode(t)
+				counter++
+				base := n.r.inForce.offset
+				if rapid.Bool().Draw(t, "old base") {
+					base = max(0, base-1)
+				}
+				var leaving []string
+				if rapid.IntRange(0, 3).Draw(t, "leaving") == 0 {
+					leaving = append(leaving, "u"+pickNode(t).address)
+				}
+				id := "p" + uuid.NewSHA1(uuid.NameSpaceOID, []byte{byte(counter)}).String()
+				w.log = append(w.log, Record{ID: id, Plan: ptr(worldPlan(id, base, leaving...))})
+			},
+			"settle down": func(*rapid.T) { w.settleDown(3) },
+			"replace": func(t *rapid.T) {
+				n := pickNode(t)
+				n.alive = false
+				w.boot(n.address, "amman-1")
+				w.settleDown(rapid.IntRange(5, 25).Draw(t, "rounds"))
+			},
+			"stop and replace": func(t *rapid.T) {
+				n := pickNode(t)
+				n.thaw()
+				n.stop()
+				w.settleDown(rapid.IntRange(5, 25).Draw(t, "rounds"))
+				if !n.alive {
+					w.boot(n.address, "amman-1")
+				}
+			},
+			"": func(*rapid.T) { w.checkAgreement() },
+		})
+	})
+}
+
+func ptr(p PlanSpec) *PlanSpec { return &p }
--- a/internal/decision/reducer/record.go
+++ b/internal/decision/reducer/record.go
@@ -34,6 +34,8 @@
 
 // TableChange is one change of a service's home table.
 type TableChange struct {
+	// Sequence orders the changes that one process makes.
+	Sequence   uint64     `json:"sequence"`
 	Service    string     `json:"service"`
 	Kind       ChangeKind `json:"kind"`
 	From       Owner      `json:"from,omitzero"`
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -34,12 +34,14 @@
 	inForce Plan
 	index   planIndex
 
-	calls       map[CallID]*call
-	tableWaits  map[CallID]*call
-	keys        keyMemory
-	moves       map[string]*handover
-	inbound     map[string]TableChange
-	jobs        map[string]time.Time
+	calls      map[CallID]*call
+	tableWaits map[CallID]*call
+	keys       keyMemory
+	moves      map[string]*handover
+	inbound    map[string]TableChange
+	jobs       map[string]time.Time
+	// offersSeen holds the latest offer of each process that hands shares over.
+	offersSeen  map[NodeID]uint64
 	members     membership
 	guard       guard
 	memory      attemptMemory
@@ -103,6 +105,7 @@
 	r.moves = map[string]*handover{}
 	r.inbound = map[string]TableChange{}
 	r.jobs = map[string]time.Time{}
+	r.offersSeen = map[NodeID]uint64{}
 	r.members.init(NewMember(r.Self))
 	r.guard.init()
 	r.memory.init()
@@ -218,6 +221,11 @@
 	return AttemptID(r.prefix + strconv.FormatUint(r.sequence, 16))
 }
 
+func (r *Reducer) nextSequence() uint64 {
+	r.sequence++
+	return r.sequence
+}
+
 // recordID returns an ID that no other record has.
 func (r *Reducer) recordID(purpose string) string {
 	r.sequence++
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -138,6 +138,8 @@
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(req.URL.RequestURI()))
 	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(strconv.AppendInt(nil, body.length, 10))
+	_, _ = h.Write([]byte{0})
 	_, _ = h.Write(body.buffered)
 	return max(h.Sum64(), 1)
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -85,12 +85,16 @@
 	return nil
 }
 
+// wallClock tells the time without its monotonic part, which would stand still
+// while the VM is suspended: an attempt must not look younger than it is.
+func wallClock() time.Time { return time.Now().Round(0) }
+
 // assemble makes the node's parts.
 func (n *Node) assemble() error {
 	incarnation := rand.Uint64()
 	n.failures = make(chan error, 8)
 	n.loop = &loop.Loop{
-		Clock: time.Now,
+		Clock: wallClock,
 		Reducer: &reducer.Reducer{
 			Self: reducer.MemberSpec{
 				Address: n.Settings.Listen.Peers, Incarnation: incarnation, Started: time.Now().UTC(),
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	resp, err := c.stub(offer.Change.To.Address).Handover(ctx, &HandoverRequest{
-		ChangeJson: change, Keys: keysToWire(offer.Records), Final: offer.Final,
+		ChangeJson: change, Keys: keysToWire(offer.Records, c.Loop.Clock()), Final: offer.Final,
 	})
 	if err != nil {
 		return
--- a/internal/mesh/peer/convert.go
+++ b/internal/mesh/peer/convert.go
@@ -133,23 +133,26 @@
 	return suspects
 }
 
-func keysToWire(records []reducer.KeyMemory) []*KeyInfo {
+// An attempt's age is sent instead of its instant, because the VMs' clocks differ.
+func keysToWire(records []reducer.KeyMemory, now time.Time) []*KeyInfo {
 	wire := make([]*KeyInfo, 0, len(records))
 	for _, k := range records {
 		wire = append(wire, &KeyInfo{
 			Key: k.Key, Ran: k.Ran, Free: k.Free, Attempt: string(k.Attempt),
 			GuardAddress: k.Guard.Address(), GuardIncarnation: k.Guard.Incarnation(),
+			Fingerprint: k.Fingerprint, SentNanosecondsAgo: int64(now.Sub(k.Sent)),
 		})
 	}
 	return wire
 }
 
-func keysFromWire(wire []*KeyInfo) []reducer.KeyMemory {
+func keysFromWire(wire []*KeyInfo, now time.Time) []reducer.KeyMemory {
 	records := make([]reducer.KeyMemory, 0, len(wire))
 	for _, k := range wire {
 		records = append(records, reducer.KeyMemory{
 			Key: k.GetKey(), Ran: k.GetRan(), Free: k.GetFree(), Attempt: reducer.AttemptID(k.GetAttempt()),
-			Guard: reducer.NewNodeID(k.GetGuardAddress(), k.GetGuardIncarnation()),
+			Guard:       reducer.NewNodeID(k.GetGuardAddress(), k.GetGuardIncarnation()),
+			Fingerprint: k.GetFingerprint(), Sent: now.Add(-time.Duration(k.GetSentNanosecondsAgo())),
 		})
 	}
 	return records
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -49,7 +49,7 @@
 	}
 	effect := s.Loop.Ask(ctx, func(id reducer.WorkID) reducer.Event {
 		return reducer.HandoverOffered{
-			Work: id, Change: change, Records: keysFromWire(req.GetKeys()), Final: req.GetFinal(),
+			Work: id, Change: change, Records: keysFromWire(req.GetKeys(), s.Loop.Clock()), Final: req.GetFinal(),
 		}
 	})
 	reply, ok := effect.(reducer.HandoverReply)
