Keep at-most-once and first answers across kills, freezes, outages and stops

Cause: the model proves the protocol; the processes were unproved.

Failed first: - a forwarded call got 422 key-reused: an empty POST was re-framed as chunked on the way, so the home computed another fingerprint. The entry's fingerprint now travels with the call, and empty bodies keep Content-Length: 0 (http.Transport would repeat such a request if it carried the canonical Idempotency-Key); - after a graceful stop a resend got 409 answer-not-kept, because the answer was lost with its guard. A stopping guard now moves its answers to the keys' homes. Conclusion: an issued key's home still ends with its process: resends after its stop are 'unknown' (noted as the price).

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -5,6 +5,7 @@
 // attemptRecord is a guard's memory of one attempt that must run at most once.
 type attemptRecord struct {
 	attempt AttemptID
+	name    keyName
 	outcome Outcome
 	work    *work
 	answer  *StoredAnswer
@@ -33,7 +34,7 @@
 
 // open remembers an attempt that waits to run.
 func (m *attemptMemory) open(w *work, expires time.Time) {
-	m.add(&attemptRecord{attempt: w.attempt, outcome: OutcomeNotRun, work: w, expires: expires})
+	m.add(&attemptRecord{attempt: w.attempt, name: w.name, outcome: OutcomeNotRun, work: w, expires: expires})
 }
 
 // forbid remembers that an attempt must never start.
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -193,6 +193,15 @@
 		Accepted bool
 	}
 
+	// OfferAnswers offers this guard's answers to the home of their keys.
+	OfferAnswers struct {
+		Address string
+		Answers []KeptAnswer
+	}
+
+	// AnswersReply answers AnswersOffered.
+	AnswersReply struct{ Work WorkID }
+
 	// TellSuspect tells a peer of a request that crashes upstreams.
 	TellSuspect struct {
 		Address string
@@ -220,6 +229,8 @@
 func (ExchangeReply) effect() {}
 func (OfferHandover) effect() {}
 func (HandoverReply) effect() {}
+func (OfferAnswers) effect()  {}
+func (AnswersReply) effect()  {}
 func (TellSuspect) effect()   {}
 func (Stopped) effect()       {}
 
@@ -259,5 +270,8 @@
 // ForWork returns the work that the effect is for.
 func (e ExchangeReply) ForWork() WorkID { return e.Work }
 
+// ForWork returns the work that the effect is for.
+func (e AnswersReply) ForWork() WorkID { return e.Work }
+
 // ForWork returns the work that the effect is for.
 func (e HandoverReply) ForWork() WorkID { return e.Work }
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -137,6 +137,8 @@
 		Service string
 		Kind    string
 		Length  Length
+		// Key is the call's idempotency key, or empty.
+		Key string
 		// Keyed tells that the attempt must run at most once.
 		Keyed       bool
 		Deadline    time.Time
@@ -238,6 +240,15 @@
 		Accepted bool
 	}
 
+	// AnswersOffered is a stopping guard's offer of answers whose home is here.
+	AnswersOffered struct {
+		Work    WorkID
+		Answers []KeptAnswer
+	}
+
+	// AnswersTaken is a home's confirmation of this node's offer.
+	AnswersTaken struct{ Address string }
+
 	// SuspectHeard is a peer's word of a request that crashes upstreams.
 	SuspectHeard struct{ Suspect Suspect }
 
@@ -277,6 +288,8 @@
 func (PeerSilent) event()        {}
 func (HandoverOffered) event()   {}
 func (HandoverAnswered) event()  {}
+func (AnswersOffered) event()    {}
+func (AnswersTaken) event()      {}
 func (SuspectHeard) event()      {}
 func (StopRequested) event()     {}
 func (Tick) event()              {}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -33,6 +33,7 @@
 type work struct {
 	id          WorkID
 	attempt     AttemptID
+	name        keyName
 	keyed       bool
 	length      Length
 	weight      int
@@ -173,7 +174,7 @@
 // workArrived admits, queues, replays or refuses an attempt.
 func (r *Reducer) workArrived(e WorkArrived) {
 	w := &work{
-		id: e.Work, attempt: e.Attempt, keyed: e.Keyed, length: e.Length, weight: 1,
+		id: e.Work, attempt: e.Attempt, name: keyName{service: e.Service, key: e.Key}, keyed: e.Keyed, length: e.Length, weight: 1,
 		deadline: e.Deadline, fingerprint: e.Fingerprint,
 	}
 	if s := r.index[e.Service]; s != nil && s.kinds[e.Kind] != nil {
--- /dev/null
+++ b/internal/decision/reducer/parting.go
@@ -0,0 +1,126 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	partingAllowance = 3 * time.Second
+	// offerBytes and offerCount bound one offer of answers.
+	offerBytes = 1 << 20
+	offerCount = 512
+)
+
+// KeptAnswer is the answer of a keyed attempt on its way from a stopping guard to
+// the home of its key.
+type KeptAnswer struct {
+	Service string
+	Key     string
+	Attempt AttemptID
+	Answer  *StoredAnswer
+}
+
+// parting is a stopping guard's wait until the homes have taken its answers.
+type parting struct {
+	offers map[string]int
+	giveUp time.Time
+}
+
+// partedAnswers offers this guard's answers to the homes of their keys and reports
+// whether all were taken, or the wait is over.
+func (r *Reducer) partedAnswers() bool {
+	if r.parting == nil {
+		r.parting = &parting{offers: map[string]int{}, giveUp: r.now.Add(partingAllowance)}
+		r.offerAnswers()
+	}
+	return len(r.parting.offers) == 0 || !r.now.Before(r.parting.giveUp)
+}
+
+func (r *Reducer) offerAnswers() {
+	byHome := map[string][]KeptAnswer{}
+	for _, record := range r.memory.expiring {
+		if record.answer == nil {
+			continue
+		}
+		if home, ok := r.homeOf(record.name); ok {
+			byHome[home] = append(byHome[home], KeptAnswer{
+				Service: record.name.service, Key: record.name.key, Attempt: record.attempt, Answer: record.answer,
+			})
+		}
+	}
+	for _, home := range slices.Sorted(maps.Keys(byHome)) {
+		for _, part := range splitAnswers(byHome[home]) {
+			r.parting.offers[home]++
+			r.emit(OfferAnswers{Address: home, Answers: part})
+		}
+	}
+}
+
+// splitAnswers divides answers into offers of bounded size.
+func splitAnswers(answers []KeptAnswer) [][]KeptAnswer {
+	var parts [][]KeptAnswer
+	size := 0
+	begin := 0
+	for i, a := range answers {
+		if i > begin && (size+len(a.Answer.Body) > offerBytes || i-begin == offerCount) {
+			parts = append(parts, answers[begin:i])
+			begin = i
+			size = 0
+		}
+		size += len(a.Answer.Body)
+	}
+	return append(parts, answers[begin:])
+}
+
+// homeOf returns the address of another node that is home to a key.
+func (r *Reducer) homeOf(name keyName) (string, bool) {
+	if issued, ok := parseIssuedKey(name.key); ok {
+		p := r.members.byIncarnation[issued.incarnation]
+		if p == nil || p.tier == tierSelf {
+			return "", false
+		}
+		return p.member.ID().Address(), true
+	}
+	table := r.log.tables[name.service]
+	if table == nil || table.version == 0 {
+		return "", false
+	}
+	owner := table.partitions[partitionOf(name.key)].owner
+	return owner.Address, owner.ID() != r.selfID()
+}
+
+func (r *Reducer) answersTaken(e AnswersTaken) {
+	if r.parting == nil {
+		return
+	}
+	r.parting.offers[e.Address]--
+	if r.parting.offers[e.Address] <= 0 {
+		delete(r.parting.offers, e.Address)
+	}
+}
+
+// answersOffered keeps the answers of a stopping guard, as far as this node is the
+// home of their keys and remembers the same attempts.
+func (r *Reducer) answersOffered(e AnswersOffered) {
+	for _, a := range e.Answers {
+		record := r.keys.find(a.Service, a.Key)
+		if record == nil || record.attempt != a.Attempt || r.memory.records[a.Attempt] != nil {
+			continue
+		}
+		if len(r.memory.records) >= r.Settings.MaxKeys {
+			break
+		}
+		r.memory.add(&attemptRecord{
+			attempt: a.Attempt, name: record.name(), outcome: OutcomeRan, answer: a.Answer, expires: r.attemptExpiry(),
+		})
+		r.memory.answerBytes += len(a.Answer.Body)
+		record.guard = r.selfID()
+		if record.state == keyDoubtful {
+			record.state = keyRan
+		}
+	}
+	r.memory.trim(r.Settings.MaxAnswerBytes)
+	r.emit(AnswersReply{Work: e.Work})
+}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -39,6 +39,7 @@
 	keys       keyMemory
 	moves      map[string]*handover
 	inbound    map[string]TableChange
+	parting    *parting
 	jobs       map[string]time.Time
 	// offersSeen holds the latest offer of each process that hands shares over.
 	offersSeen  map[NodeID]uint64
@@ -189,6 +190,10 @@
 		r.handoverOffered(e)
 	case HandoverAnswered:
 		r.handoverAnswered(e)
+	case AnswersOffered:
+		r.answersOffered(e)
+	case AnswersTaken:
+		r.answersTaken(e)
 	case SuspectHeard:
 		r.suspectHeard(e.Suspect)
 	case StopRequested:
--- /dev/null
+++ b/internal/decision/reducer/stop.go
@@ -0,0 +1,65 @@
+package reducer
+
+import "time"
+
+// stopRequested begins a graceful stop.
+func (r *Reducer) stopRequested() {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.stopBy = r.now.Add(r.Settings.StopAllowance)
+	r.lingering = r.now.Add(stopLinger)
+	r.announceSelf()
+	r.refuseQueueWhenLeaving()
+	for _, p := range r.members.order {
+		if p.tier != tierSelf && p.member.Service() == r.guard.service {
+			r.emit(AskPeer{Address: p.member.ID().Address(), Digest: r.digest(), Members: []Member{r.members.self}})
+		}
+	}
+	r.keepHomes()
+}
+
+// stopLinger is how long a stopping node refuses new work before it may exit,
+// so that the entries learn of it.
+const stopLinger = time.Second
+
+// checkStopped tells when a stopping node has nothing left to do.
+func (r *Reducer) checkStopped() {
+	if r.stopped || r.now.Before(r.lingering) {
+		return
+	}
+	if r.now.Before(r.stopBy) && (r.busy() || !r.partedAnswers()) {
+		return
+	}
+	r.stopped = true
+	r.emit(Stopped{})
+}
+
+// busy reports whether a stopping node has work in flight or shares to hand over.
+func (r *Reducer) busy() bool {
+	return len(r.calls) > 0 || len(r.guard.works) > 0 || r.holdsShares()
+}
+
+// holdsShares reports whether a stopping node still waits to hand over shares.
+func (r *Reducer) holdsShares() bool {
+	for service, table := range r.log.tables {
+		if len(table.owned(r.selfID())) == 0 {
+			continue
+		}
+		h := r.moves[service]
+		switch {
+		case h == nil:
+			if len(r.homesOf(service)) > 0 {
+				return true
+			}
+		case h.accepted:
+			if r.now.Before(h.giveUp) {
+				return true
+			}
+		case h.offers < offerAttempts:
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -233,7 +233,14 @@
 		n.refuseWork(e)
 	case ReplayWork:
 		n.replayWork(e)
-	case SettleReply, ExchangeReply, HandoverReply:
+	case OfferAnswers:
+		n.w.send(&delivery{to: e.Address, do: func(p *worldNode) {
+			id := WorkID(p.id())
+			p.replies[id] = func(Effect) {}
+			p.step(AnswersOffered{Work: id, Answers: e.Answers})
+			n.step(AnswersTaken{Address: e.Address})
+		}, lost: func(bool) { n.step(AnswersTaken{Address: e.Address}) }})
+	case SettleReply, ExchangeReply, HandoverReply, AnswersReply:
 		id := e.(WorkEffect).ForWork()
 		n.replies[id](e)
 		delete(n.replies, id)
@@ -305,7 +312,7 @@
 		g.step(WorkArrived{
 			Work: id, Attempt: e.Attempt, To: e.Target.Incarnation(), Service: worldService, Kind: e.Kind,
 			Length: e.Length, Keyed: e.Keyed, Deadline: n.w.now.Add(g.skew).Add(remaining),
-			Fingerprint: e.Fingerprint, Replay: e.Replay,
+			Fingerprint: e.Fingerprint, Replay: e.Replay, Key: e.Key,
 		})
 	}
 	n.w.send(&delivery{to: e.Target.Address(), do: arrive, lost: func(sent bool) {
--- a/internal/edge/caller/body.go
+++ b/internal/edge/caller/body.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-
-	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
 // maxBufferedBytes bounds the request bodies that are kept for another attempt.
@@ -40,11 +38,11 @@
 func (b *requestBody) next() io.ReadCloser {
 	switch {
 	case !b.whole:
-		return peer.SingleUse(io.NopCloser(&trackedReader{body: b}))
+		return io.NopCloser(&trackedReader{body: b})
 	case b.length == 0:
-		return peer.SingleUse(http.NoBody)
+		return http.NoBody
 	default:
-		return peer.SingleUse(io.NopCloser(bytes.NewReader(b.buffered)))
+		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
 }
 
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -75,8 +75,14 @@
 		return
 	}
 	arrived.Fingerprint = fingerprint(req, body)
+	if forwarded {
+		// The caller's own entry saw the request as it was sent.
+		if seen, err := strconv.ParseUint(req.Header.Get(peer.HeaderFingerprint), 16, 64); err == nil {
+			arrived.Fingerprint = seen
+		}
+	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	x := &exchange{entry: e, writer: w, req: req, body: body}
+	x := &exchange{entry: e, writer: w, req: req, body: body, fingerprint: arrived.Fingerprint}
 	x.run(arrived)
 }
 
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -31,6 +31,8 @@
 	mailbox *loop.CallMailbox
 	ctx     context.Context
 	resp    *http.Response
+
+	fingerprint uint64
 }
 
 // run answers the call.
@@ -120,8 +122,8 @@
 	}
 	if e.Replay {
 		h[peer.HeaderReplay] = []string{"1"}
-		out.Body = peer.SingleUse(http.NoBody)
 		out.ContentLength = 0
+		out.Body = peer.SingleUse(out.Method, 0, http.NoBody)
 		delete(h, "Expect")
 	}
 	var transport http.RoundTripper
@@ -199,8 +201,8 @@
 	out := &http.Request{
 		Method: x.req.Method, Host: x.req.Host, URL: x.url(target),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: peer.EndToEnd(x.req.Header), Body: x.body.next(), ContentLength: x.req.ContentLength,
-		Trailer: x.req.Trailer,
+		Header: peer.EndToEnd(x.req.Header), ContentLength: x.req.ContentLength, Trailer: x.req.Trailer,
+		Body: peer.SingleUse(x.req.Method, x.req.ContentLength, x.body.next()),
 	}
 	h := out.Header
 	delete(h, "Expect")
@@ -242,7 +244,8 @@
 	out := x.request(e.Target, e.Deadline, 0).WithContext(httptrace.WithClientTrace(ctx, trace))
 	h := out.Header
 	h[peer.HeaderHome] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
-	h[peer.HeaderIdempotencyKey] = []string{e.Key}
+	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(x.fingerprint, 16)}
+	peer.SetKey(h, e.Key)
 	for _, name := range []string{peer.HeaderKind, peer.HeaderFirstSent, peer.HeaderRetries} {
 		delete(h, name)
 		if values := x.req.Header[name]; len(values) > 0 {
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -104,6 +104,7 @@
 	return reducer.WorkArrived{
 		Work: id, Attempt: reducer.AttemptID(h.Get(peer.HeaderAttempt)), To: to,
 		Service: h.Get(peer.HeaderService), Kind: h.Get(peer.HeaderKind),
+		Key:    h.Get(peer.HeaderKey),
 		Length: reducer.Length(h.Get(peer.HeaderLength)), Keyed: h.Get(peer.HeaderKeyed) != "",
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
 		Replay: h.Get(peer.HeaderReplay) != "",
@@ -169,7 +170,7 @@
 	out := &http.Request{
 		Method: req.Method, URL: cloneURL(req, address), Host: req.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: peer.EndToEnd(req.Header), Body: peer.SingleUse(req.Body),
+		Header: peer.EndToEnd(req.Header), Body: peer.SingleUse(req.Method, req.ContentLength, req.Body),
 		ContentLength: req.ContentLength, Trailer: req.Trailer,
 	}
 	out.Header[peer.HeaderAttempt] = []string{string(arrived.Attempt)}
@@ -180,7 +181,7 @@
 		}
 	}
 	if key := req.Header.Get(peer.HeaderKey); key != "" {
-		out.Header[peer.HeaderIdempotencyKey] = []string{key}
+		peer.SetKey(out.Header, key)
 	}
 	// Nodes use Expect between themselves; the attempt is admitted by now.
 	delete(out.Header, "Expect")
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -97,7 +97,7 @@
 		Clock: wallClock,
 		Reducer: &reducer.Reducer{
 			Self: reducer.MemberSpec{
-				Address: n.Settings.Listen.Peers, Incarnation: incarnation, Started: time.Now().UTC(),
+				Address: n.Settings.Listen.PeersAnnounced, Incarnation: incarnation, Started: time.Now().UTC(),
 				Region: n.Settings.Region, Zone: n.Settings.Zone, Operators: n.Settings.Listen.Operators,
 			},
 			Seeds: n.Settings.Seeds, Settings: n.Settings.Decisions, Seed: rand.Uint64(),
@@ -114,7 +114,7 @@
 	n.guard.Prepare()
 	n.entry = &caller.Entry{
 		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
-		Self: reducer.NewNodeID(n.Settings.Listen.Peers, incarnation),
+		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
 	}
 	n.appender = &stream.Appender{Log: n.Log}
 	return nil
@@ -142,7 +142,9 @@
 			Str("to", e.Change.To.Address).Int("shares", len(e.Change.Partitions)).Msg("")
 		go n.client.Handover(e)
 	case reducer.TellSuspect:
-		go n.tellSuspect(e)
+		go n.warn("suspect-not-told", func() error { return n.client.TellSuspect(e) })
+	case reducer.OfferAnswers:
+		go n.warn("answers-not-moved", func() error { return n.client.OfferAnswers(e) })
 	case reducer.ProbeUpstream:
 		go n.guard.Probe(e)
 	case reducer.AppendRecord:
@@ -150,9 +152,10 @@
 	}
 }
 
-func (n *Node) tellSuspect(e reducer.TellSuspect) {
-	if err := n.client.TellSuspect(e); err != nil {
-		n.Logger.Warn().Str("event", "suspect-not-told").Err(err).Msg("")
+// warn logs the error of a task that nobody waits for.
+func (n *Node) warn(event string, task func() error) {
+	if err := task(); err != nil {
+		n.Logger.Warn().Str("event", event).Err(err).Msg("")
 	}
 }
 
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -129,6 +129,15 @@
 	c.Loop.Do(reducer.HandoverAnswered{Change: offer.Change, Accepted: resp.GetAccepted()})
 }
 
+// OfferAnswers carries out OfferAnswers. Answers that can't be moved are not kept.
+func (c *Client) OfferAnswers(offer reducer.OfferAnswers) error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	_, err := c.stub(offer.Address).KeepAnswers(ctx, &KeepAnswersRequest{Answers: answersToWire(offer.Answers)})
+	c.Loop.Do(reducer.AnswersTaken{Address: offer.Address})
+	return oops.Wrapf(err, "move %d answers to peer %s", len(offer.Answers), offer.Address)
+}
+
 // Settle carries out SettleAttempt; without an answer the outcome is unknown.
 func (c *Client) Settle(ctx context.Context, settle reducer.SettleAttempt) reducer.Outcome {
 	resp, err := c.stub(settle.Target.Address()).Settle(ctx, &SettleRequest{
--- a/internal/mesh/peer/headers.go
+++ b/internal/mesh/peer/headers.go
@@ -38,7 +38,7 @@
 }
 
 // EndToEnd returns the headers that are passed on: those that belong to one
-// connection, and this system's own, are left out.
+// connection, this system's own, and the idempotency key are left out.
 func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h)+8)
 	for name, values := range h {
@@ -54,6 +54,7 @@
 	for _, name := range hopByHop {
 		delete(out, name)
 	}
+	delete(out, HeaderIdempotencyKey)
 	return out
 }
 
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -59,6 +59,17 @@
 	return &HandoverResponse{Accepted: reply.Accepted}, nil
 }
 
+// KeepAnswers takes the answers of a stopping guard.
+func (s *Server) KeepAnswers(ctx context.Context, req *KeepAnswersRequest) (*KeepAnswersResponse, error) {
+	effect := s.Loop.Ask(ctx, func(id reducer.WorkID) reducer.Event {
+		return reducer.AnswersOffered{Work: id, Answers: answersFromWire(req.GetAnswers())}
+	})
+	if effect == nil {
+		return nil, errNoReply(ctx)
+	}
+	return &KeepAnswersResponse{}, nil
+}
+
 // Settle tells the outcome of an attempt and forbids its start.
 func (s *Server) Settle(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
 	effect := s.Loop.Ask(ctx, func(id reducer.WorkID) reducer.Event {
--- a/internal/operator/demo/fleet.go
+++ b/internal/operator/demo/fleet.go
@@ -71,6 +71,7 @@
 		Region: demoRegion, Zone: zone, LogPeriod: demoPoll, Decisions: decisions,
 		Listen: settings.Listen{
 			Callers: addresses[0], Peers: addresses[1], Operators: addresses[2], Upstream: addresses[3],
+			PeersAnnounced: addresses[1],
 		},
 		Limits: settings.Limits{
 			HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: time.Minute, MaxConnections: 1024,
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -22,6 +22,8 @@
 	Peers     string
 	Operators string
 	Upstream  string
+	// PeersAnnounced is where other nodes reach the peers' listener.
+	PeersAnnounced string
 }
 
 // TLS holds the files for mutual TLS between nodes and with operators; all are
@@ -114,6 +116,8 @@
 			Peers:     r.listener("peers"),
 			Operators: r.listener("operators"),
 			Upstream:  r.listener("upstream"),
+
+			PeersAnnounced: r.announced(),
 		},
 		LogURL:    r.logURL(),
 		LogPeriod: r.duration("platform", "poll", 2*time.Second, 10*time.Millisecond, 10*time.Second),
@@ -200,6 +204,19 @@
 	return value
 }
 
+// announced is the peers' listener as other nodes reach it; by default it is the
+// listener's own address.
+func (r *reader) announced() string {
+	value := r.text("listen", "peers_announced")
+	if value == "" {
+		return r.text("listen", "peers")
+	}
+	if !validAddress(value) {
+		r.problem("listen", "peers_announced", fmt.Sprintf("%q is no IP number with a port; write it such as 10.0.0.7:9001", value))
+	}
+	return value
+}
+
 func (r *reader) addresses(section, key string) []string {
 	var list []string
 	for part := range strings.SplitSeq(r.text(section, key), ",") {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -53,12 +53,18 @@
 func scenarioCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"await":     awaitCommand,
+		"backend":   backendCommand,
 		"bytecount": byteCountCommand,
 		"config":    configCommand,
 		"exits":     exitsCommand,
+		"homes":     homesCommand,
+		"keyhome":   keyHomeCommand,
 		"ledger":    ledgerCommand,
+		"node":      nodeCommand,
 		"ports":     portsCommand,
 		"post":      postCommand,
+		"publish":   publishCommand,
+		"readenv":   readEnvCommand,
 		"serve":     serveCommand,
 		"signal":    signalCommand,
 		"sleep":     sleepCommand,
@@ -322,6 +328,12 @@
 	return got == n
 }
 
+// readEnvCommand sets a variable to what the last program printed.
+func readEnvCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) == 1, "readenv VARIABLE")
+	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile("stdout")))
+}
+
 // byteCountCommand checks the size of a file.
 func byteCountCommand(ts *testscript.TestScript, neg bool, args []string) {
 	check(ts, !neg && len(args) == 2, "bytecount FILE COUNT")
--- a/standin_call_test.go
+++ b/standin_call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -31,6 +32,7 @@
 	urls      []string
 	save      string
 	retry     bool
+	printKey  bool
 }
 
 // callMain is a caller: it prints status, outcome and body of each call, and for
@@ -50,10 +52,17 @@
 	flags.IntVar(&f.together, "together", 1, "calls at a time")
 	flags.StringVar(&f.save, "save", "", "file for the answer's body")
 	flags.BoolVar(&f.retry, "retry", false, "send a call again, with its key, through the next URL where its answer was refused or cut")
+	flags.BoolVar(&f.printKey, "print-key", false, "print only the first issued key of the answer")
 	_ = flags.Parse(args)
 	f.urls = flags.Args()
 	if f.count == 1 {
 		result, body := f.call(0)
+		if f.printKey {
+			var issued struct{ Keys []string }
+			_ = json.Unmarshal([]byte(body), &issued)
+			fmt.Println(strings.Join(issued.Keys, " "))
+			return
+		}
 		fmt.Printf("%s %s", result, body)
 		if !strings.HasSuffix(body, "\n") {
 			fmt.Println()
