--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -186,7 +186,7 @@
 	c.status = e.Status
 	if !a.replay {
 		failed := e.Status >= 500
-		a.peer.reported(e.Load, r.now)
+		a.peer.reported(e.Load, r.now, r.Settings.ReportPeriod)
 		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
 	}
 	r.askForPlan(a.peer, e.Load.planOffset)
@@ -224,7 +224,7 @@
 // noteRefusal keeps later choices away from an upstream that can't take work.
 func (r *Reducer) noteRefusal(p *peer, e AttemptRefused) {
 	if !e.Load.IsZero() {
-		p.reported(e.Load, r.now)
+		p.reported(e.Load, r.now, r.Settings.ReportPeriod)
 	}
 	switch e.Reason {
 	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted:
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -363,7 +363,7 @@
 	}
 	p.reachable()
 	if !e.Digest.Load.IsZero() {
-		p.reported(e.Digest.Load, r.now)
+		p.reported(e.Digest.Load, r.now, r.Settings.ReportPeriod)
 	}
 	r.askForPlan(p, e.Digest.PlanOffset)
 }
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -94,8 +94,11 @@
 	}
 }
 
-// reported takes the guard's load.
-func (p *peer) reported(l LoadReport, now time.Time) {
+// reported takes the guard's load, unless the last report is younger than period.
+func (p *peer) reported(l LoadReport, now time.Time, period time.Duration) {
+	if now.Sub(p.reportedAt) < period {
+		return
+	}
 	p.report = l
 	p.reportedAt = now
 	p.ownAtReport = p.outstanding()
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -8,6 +8,9 @@
 	Policy PolicyName
 	// Sample is how many upstreams a choice compares.
 	Sample int
+	// ReportPeriod is how long a load report is kept before a newer one is taken;
+	// zero takes every one. Experiments make reports stale with it.
+	ReportPeriod time.Duration
 	// ShortReserve is how many slots long work never takes.
 	ShortReserve int
 	// QueuePerSlot bounds the guard's queue.
--- a/internal/operator/load/experiment.go
+++ b/internal/operator/load/experiment.go
@@ -156,3 +156,31 @@
 	}
 	return e.Rate
 }
+
+// phase is a part of a swing.
+type phase int
+
+const (
+	// phaseRecovery is the time right after a crest.
+	phaseRecovery phase = iota
+	phaseCalm
+	phaseCrest
+)
+
+// recoveryTime is how long after a crest a service may need to be calm again.
+const recoveryTime = 200 * time.Millisecond
+
+// phaseAt is the phase at a time after the start.
+func (e *Experiment) phaseAt(elapsed time.Duration) phase {
+	if e.Crest <= 0 {
+		return phaseCalm
+	}
+	switch at := elapsed % e.Period; {
+	case at >= e.Period/2:
+		return phaseCrest
+	case at >= recoveryTime || elapsed < e.Period:
+		return phaseCalm
+	default:
+		return phaseRecovery
+	}
+}
--- a/internal/operator/load/run.go
+++ b/internal/operator/load/run.go
@@ -41,15 +41,24 @@
 	Failed   int    `json:"failed"`
 	Resends  int    `json:"resends"`
 	// Differing counts resends whose answer was not the first one's.
-	Differing int           `json:"differing"`
-	P50       time.Duration `json:"p50"`
-	P99       time.Duration `json:"p99"`
-	P999      time.Duration `json:"p999"`
-	Highest   time.Duration `json:"highest"`
+	Differing int `json:"differing"`
+	// Crest and Calm count the calls that were due in crests and well after them.
+	Crest   PhaseResult   `json:"crest"`
+	Calm    PhaseResult   `json:"calm"`
+	P50     time.Duration `json:"p50"`
+	P99     time.Duration `json:"p99"`
+	P999    time.Duration `json:"p999"`
+	Highest time.Duration `json:"highest"`
 
 	histogram *hdrhistogram.Histogram
 }
 
+// PhaseResult counts the calls that were due in one phase of a swing.
+type PhaseResult struct {
+	Calls  int `json:"calls"`
+	OnTime int `json:"on_time"`
+}
+
 // Result is what came of an experiment.
 type Result struct {
 	Duration time.Duration `json:"duration"`
@@ -131,11 +140,11 @@
 			progress(Progress{Elapsed: due, Begun: r.begun, Outstanding: r.outstanding})
 			r.mu.Unlock()
 		}
-		r.begin(ctx, start.Add(due))
+		r.begin(ctx, start.Add(due), r.experiment.phaseAt(due))
 	}
 }
 
-func (r *runner) begin(ctx context.Context, due time.Time) {
+func (r *runner) begin(ctx context.Context, due time.Time, phase phase) {
 	index := r.pick()
 	target := r.random.IntN(len(r.experiment.Targets))
 	kind := r.experiment.Kinds[index]
@@ -154,7 +163,7 @@
 		return
 	}
 	r.group.Go(func() {
-		r.call(ctx, index, number, target, due, resend)
+		r.call(ctx, index, number, target, due, resend, phase)
 		r.mu.Lock()
 		r.outstanding--
 		r.mu.Unlock()
@@ -190,7 +199,7 @@
 	return !a.broken && a.outcome == reducer.OutcomeRan && a.status < http.StatusInternalServerError
 }
 
-func (r *runner) call(ctx context.Context, index, number, target int, due time.Time, resend bool) {
+func (r *runner) call(ctx context.Context, index, number, target int, due time.Time, resend bool, phase phase) {
 	kind := r.experiment.Kinds[index]
 	key := ""
 	if resend {
@@ -207,7 +216,7 @@
 	}
 	first := r.send(ctx, kind, key, number, target, due)
 	second.Wait()
-	r.record(index, first, resend, again)
+	r.record(index, first, resend, again, phase)
 }
 
 func (r *runner) send(ctx context.Context, kind Kind, key string, number, target int, due time.Time) answer {
@@ -245,11 +254,13 @@
 	return a
 }
 
-func (r *runner) record(index int, first answer, resent bool, again answer) {
+func (r *runner) record(index int, first answer, resent bool, again answer, phase phase) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.result.Kinds[index]
 	k.Calls++
+	onTime := first.ran() && first.latency <= r.experiment.Kinds[index].Allowance
+	k.countPhase(phase, onTime)
 	if resent {
 		k.Resends++
 		if first.ran() && again.ran() && first.digest != again.digest {
@@ -267,7 +278,7 @@
 		k.Failed++
 	default:
 		k.Answered++
-		if first.latency <= r.experiment.Kinds[index].Allowance {
+		if onTime {
 			k.OnTime++
 		}
 		_ = k.histogram.RecordValue(min(first.latency.Microseconds(), highestMicroseconds))
@@ -283,6 +294,22 @@
 	}
 }
 
+func (k *KindResult) countPhase(phase phase, onTime bool) {
+	var result *PhaseResult
+	switch phase {
+	case phaseCrest:
+		result = &k.Crest
+	case phaseCalm:
+		result = &k.Calm
+	default:
+		return
+	}
+	result.Calls++
+	if onTime {
+		result.OnTime++
+	}
+}
+
 func (k *KindResult) quantile(percent float64) time.Duration {
 	return time.Duration(k.histogram.ValueAtQuantile(percent)) * time.Microsecond
 }
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -151,6 +151,7 @@
 	s := reducer.DefaultSettings()
 	s.Policy = r.policy(s.Policy)
 	s.Sample = r.integer("routing", "sample", s.Sample, 1, 64)
+	s.ReportPeriod = r.duration("routing", "report_period", s.ReportPeriod, 0, time.Minute)
 	s.MaxEjectedShare = r.share("routing", "max_ejected_share", s.MaxEjectedShare)
 	s.CrossRegionBudget = int64(r.integer("routing", "cross_region_bytes_per_second", int(s.CrossRegionBudget), 0, 1<<40))
 	s.ShortReserve = r.integer("admission", "short_reserve", s.ShortReserve, 0, 4096)
