--- /dev/null
+++ b/internal/decision/reducer/bench_test.go
@@ -0,0 +1,64 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// tickForBench is the time between two ticks of a node.
+const tickForBench = 50 * time.Millisecond
+
+// BenchmarkCall is the whole set of an entry's steps for one read: arrival, answer
+// and end, in fleets of several sizes whose upstreams share one service or many.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{8, 70, 580} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			f := newFleet(b, size)
+			load := NewLoadReport(1, 0, 6, 2_000_000, 1)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := CallID(i + 1)
+				var attempt AttemptID
+				for _, effect := range f.entry.Step(f.now, f.read(id)) {
+					if send, ok := effect.(SendAttempt); ok {
+						attempt = send.Attempt
+					}
+				}
+				f.entry.Step(f.now, AttemptAnswered{Call: id, Attempt: attempt, Status: 200, Load: load})
+				f.entry.Step(f.now, AnswerEnded{Call: id, Attempt: attempt, Whole: true})
+				f.entry.Step(f.now, CallEnded{Call: id})
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the cost of a tick at several sizes.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{8, 70, 580} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			f := newFleet(b, size)
+			b.ReportAllocs()
+			for range b.N {
+				f.now = f.now.Add(tickForBench)
+				f.entry.Step(f.now, Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkAnnouncement is the cost of hearing of one member's restart.
+func BenchmarkAnnouncement(b *testing.B) {
+	for _, size := range []int{8, 70, 580} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			f := newFleet(b, size)
+			b.ReportAllocs()
+			for i := range b.N {
+				spec := f.upstream(i % size)
+				spec.Version = uint64(i/size + 1)
+				f.entry.Step(f.now, PeerHeard{Members: []Member{NewMember(spec)}})
+			}
+		})
+	}
+}
--- a/internal/platform/sheet/sheet.go
+++ b/internal/platform/sheet/sheet.go
@@ -85,7 +85,7 @@
 	if len(data) > maxSheetBytes {
 		return nil, Faults{{Row: 1, Remedy: fmt.Sprintf("the sheet is larger than %d bytes; export only the plan's rows", maxSheetBytes)}}
 	}
-	p := &parser{seen: map[string]int{}}
+	p := &parser{seen: map[string]int{}, first: map[string]int{}}
 	p.read(bytes.TrimPrefix(data, []byte(byteOrderMark)))
 	p.finish()
 	if len(p.faults) > 0 {
@@ -101,8 +101,10 @@
 	faults   Faults
 	columns  map[string]int
 	seen     map[string]int
-	line     int
-	cells    []string
+	// first holds the row in which each service stands first.
+	first map[string]int
+	line  int
+	cells []string
 }
 
 func (p *parser) fault(column, format string, args ...any) {
@@ -194,6 +196,7 @@
 		}
 	}
 	p.services = append(p.services, reducer.ServicePlan{Name: name})
+	p.first[name] = p.line
 	return &p.services[len(p.services)-1]
 }
 
@@ -305,7 +308,7 @@
 	}
 	for _, service := range p.services {
 		if len(service.Kinds) == 0 {
-			p.line = 1
+			p.line = p.first[service.Name]
 			p.fault(columnService, "service %q has no %s row; add one for each kind of request", service.Name, rowKind)
 		}
 	}
