--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -32,7 +32,7 @@
 	delayOther  = 24 * time.Millisecond
 	// localQueue is how much work per slot an upstream of the own region holds
 	// before work is sent to another region.
-	localQueue = 2.0
+	localQueue = 3.0
 )
 
 var tierDelays = [tierCount]time.Duration{delaySelf, delayZone, delayRegion, delayOther}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -32,7 +32,7 @@
 type Node struct {
 	// Settings are the node's checked settings.
 	Settings settings.Node
-	// Log is the platform's log.
+	// Log is the platform's log; by default it is the one that the settings name.
 	Log stream.Log
 	// Logger takes one line for each event.
 	Logger *log.Logger
@@ -46,6 +46,7 @@
 	appender *stream.Appender
 	stopping atomic.Bool
 	telling  atomic.Int64
+	control  peer.ByteCounter
 	servers  []*http.Server
 	failures chan error
 	work     sync.WaitGroup
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	n.client = &peer.Client{Loop: n.loop, TLS: clientTLS}
+	n.client = &peer.Client{Loop: n.loop, TLS: clientTLS, Counter: &n.control}
 	n.client.Prepare()
 	n.guard = &upstream.Guard{Loop: n.loop, Telling: n.telling.Load}
 	n.guard.Prepare()
@@ -117,6 +118,9 @@
 		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
 		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
 	}
+	if n.Log == nil {
+		n.Log = stream.NewClient(n.Settings.LogURL, n.control.Dial)
+	}
 	n.appender = &stream.Appender{Log: n.Log}
 	return nil
 }
@@ -186,7 +190,7 @@
 	}
 	announcements := &upstream.Announcements{Loop: n.loop, Guard: n.guard}
 	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded}
-	operators := &console.Server{Loop: n.loop}
+	operators := &console.Server{Loop: n.loop, ControlBytes: n.control.Bytes}
 	listeners := []struct {
 		address string
 		handler http.Handler
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -29,6 +29,8 @@
 	Loop *loop.Loop
 	// TLS is used towards peers, or nil for plain TCP.
 	TLS *tls.Config
+	// Counter counts the bytes of control requests.
+	Counter *ByteCounter
 
 	scheme  string
 	control *http.Client
@@ -44,6 +46,7 @@
 	}
 	control := c.transport(idleControlTime)
 	control.MaxIdleConnsPerHost = 1
+	control.DialContext = c.Counter.Dial
 	c.control = &http.Client{Transport: control, Timeout: controlTimeout}
 	c.short = c.transport(idleCallTime)
 	c.long = c.transport(idleCallTime)
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -9,7 +10,6 @@
 
 	"github.com/tanagerline/tanagerline/internal/mesh/node"
 	"github.com/tanagerline/tanagerline/internal/operator/settings"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
 )
 
 // nodeCommand runs the process beside an upstream.
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	n := &node.Node{Settings: loaded, Log: stream.NewClient(loaded.LogURL), Logger: newLogger(stderr)}
+	n := &node.Node{Settings: loaded, Logger: newLogger(stderr)}
 	return n.Run(ctx)
 }
 
@@ -44,6 +44,16 @@
 	return &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer:     &log.ConsoleWriter{Writer: w, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter},
+		Writer:     &log.ConsoleWriter{Writer: w, Formatter: formatEvent},
 	}
 }
+
+// formatEvent writes an event's pairs without the library's empty message at the end.
+func formatEvent(w io.Writer, args *log.FormatterArgs) (int, error) {
+	var line bytes.Buffer
+	if _, err := (log.LogfmtFormatter{TimeField: "time"}).Formatter(&line, args); err != nil {
+		return 0, err
+	}
+	text := bytes.TrimSuffix(bytes.TrimRight(line.Bytes(), "\n"), []byte(` ""`))
+	return w.Write(append(text, '\n'))
+}
--- a/internal/operator/cli/sheetcmd.go
+++ b/internal/operator/cli/sheetcmd.go
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
-	appender := &stream.Appender{Log: stream.NewClient(c.log)}
+	appender := &stream.Appender{Log: stream.NewClient(c.log, nil)}
 	offset, err := appender.Append(ctx, reducer.Record{ID: spec.ID, Plan: &spec}, status.LogNext)
 	if err != nil {
 		return err
--- a/internal/operator/console/server.go
+++ b/internal/operator/console/server.go
@@ -18,6 +18,8 @@
 type Server struct {
 	// Loop holds what the node knows.
 	Loop *loop.Loop
+	// ControlBytes tells the bytes of the control requests that the node made.
+	ControlBytes func() int64
 
 	// metricsMu guards the totals while they are renewed and written.
 	metricsMu sync.Mutex
@@ -113,6 +115,7 @@
 	s.metricsMu.Lock()
 	defer s.metricsMu.Unlock()
 	fill(s.registry, status)
+	metrics.GetOrRegisterGauge("control.bytes", s.registry).Update(s.ControlBytes())
 	metrics.CaptureRuntimeMemStatsOnce(s.registry)
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(s.registry, w)
--- a/internal/platform/stream/log.go
+++ b/internal/platform/stream/log.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -56,9 +57,10 @@
 	HTTP *http.Client
 }
 
-// NewClient returns a client of the log at base.
-func NewClient(base string) *Client {
-	return &Client{Base: base, HTTP: &http.Client{Timeout: requestTimeout}}
+// NewClient returns a client of the log at base, whose connections dial makes.
+func NewClient(base string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	transport := &http.Transport{DialContext: dial, DisableCompression: true}
+	return &Client{Base: base, HTTP: &http.Client{Timeout: requestTimeout, Transport: transport}}
 }
 
 // Append adds a record and returns its offset. After an error the record may
--- a/standin_call_test.go
+++ b/standin_call_test.go
@@ -34,6 +34,8 @@
 	retry     bool
 	printKey  bool
 	ownPath   bool
+	discard   bool
+	giveUp    time.Duration
 }
 
 // callMain is a caller: it prints status, outcome and body of each call, and for
@@ -53,10 +55,15 @@
 	flags.IntVar(&f.together, "together", 1, "calls at a time")
 	flags.StringVar(&f.save, "save", "", "file for the answer's body")
 	flags.BoolVar(&f.retry, "retry", false, "send a call again, with its key, through the next URL where its answer was refused or cut")
+	flags.BoolVar(&f.discard, "discard", false, "count the answer's bytes instead of keeping them")
+	flags.DurationVar(&f.giveUp, "give-up", 0, "go away after this time, and exit with 1")
 	flags.BoolVar(&f.ownPath, "expect-path", false, "add to each result whether the answer names the call's path")
 	flags.BoolVar(&f.printKey, "print-key", false, "print only the first issued key of the answer")
 	_ = flags.Parse(args)
 	f.urls = flags.Args()
+	if f.giveUp > 0 {
+		time.AfterFunc(f.giveUp, func() { os.Exit(1) })
+	}
 	if f.count == 1 {
 		result, body := f.call(0)
 		if f.printKey {
@@ -150,6 +157,10 @@
 		return errorResult(err), err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if f.discard {
+		n, err := io.Copy(io.Discard, resp.Body)
+		return fmt.Sprintf("%d %s %d bytes", resp.StatusCode, resp.Header.Get("Tanagerline-Outcome"), n), fmt.Sprint(err)
+	}
 	data, err := io.ReadAll(resp.Body)
 	result = fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get("Tanagerline-Outcome"))
 	if err != nil {
