--- a/experiments_fleet_test.go
+++ b/experiments_fleet_test.go
@@ -38,7 +38,6 @@
 	slowness atomic.Int64
 	failing  atomic.Bool
 	calls    atomic.Int64
-	running  atomic.Int64
 	probes   atomic.Int64
 	bytes    atomic.Int64
 	// next is the path of the call that each call makes in turn, through callers.
--- a/internal/decision/reducer/home.go
+++ b/internal/decision/reducer/home.go
@@ -213,7 +213,14 @@
 	waiting := r.tableWaits
 	r.tableWaits = map[CallID]*call{}
 	for _, id := range slices.Sorted(maps.Keys(waiting)) {
-		r.routeKeyed(waiting[id])
+		r.routeAgain(waiting[id])
+	}
+}
+
+// routeAgain routes a call that waited, unless it was answered meanwhile.
+func (r *Reducer) routeAgain(c *call) {
+	if !c.answered {
+		r.routeKeyed(c)
 	}
 }
 
@@ -338,7 +345,7 @@
 	waiting := record.waiting
 	record.waiting = nil
 	for _, w := range waiting {
-		r.routeKeyed(w)
+		r.routeAgain(w)
 	}
 }
 
--- /dev/null
+++ b/internal/decision/reducer/outcome.go
@@ -0,0 +1,133 @@
+package reducer
+
+func (r *Reducer) attemptAnswered(e AttemptAnswered) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil || c.answered {
+		return
+	}
+	a := c.attempt
+	c.answered = true
+	c.status = e.Status
+	if !a.replay {
+		failed := e.Status >= 500
+		a.peer.reported(e.Load, r.now, r.Settings.ReportPeriod)
+		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+	}
+	r.askForPlan(a.peer, e.Load.planOffset)
+	r.trace.add(r.now, c, a.peer, TraceAnswered)
+	r.emit(RelayAnswer{Call: c.id, Attempt: a.id, Key: c.key, Target: a.target})
+}
+
+func (r *Reducer) attemptRefused(e AttemptRefused) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	r.endAttempt(c)
+	r.trace.refusal(r.now, c, a.peer, e.Reason)
+	if a.replay {
+		r.reject(c, OutcomeUnknown, ProblemAnswerNotKept)
+		return
+	}
+	r.noteRefusal(a.peer, e)
+	if e.Reason == RefusalQuarantined {
+		r.rejectNotRun(c, ProblemQuarantined)
+		return
+	}
+	r.retryNotRun(c, e.Reason, e.BodySpent)
+}
+
+// noteRefusal keeps later choices away from an upstream that can't take work.
+func (r *Reducer) noteRefusal(p *peer, e AttemptRefused) {
+	if !e.Load.IsZero() {
+		p.reported(e.Load, r.now, r.Settings.ReportPeriod)
+	}
+	switch e.Reason {
+	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted:
+		p.avoid(r.now)
+	case RefusalUnreachable:
+		p.unreachable(r.now)
+	default:
+	}
+}
+
+func (r *Reducer) attemptLost(e AttemptLost) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	if !e.Sent {
+		r.attemptRefused(AttemptRefused{
+			Call: e.Call, Attempt: e.Attempt, Reason: RefusalUnreachable, BodySpent: e.BodySpent,
+		})
+		return
+	}
+	r.endAttempt(c)
+	r.noteCrash(c.fingerprint, e.Crash)
+	r.trace.add(r.now, c, a.peer, TraceLost)
+	if !a.replay && !c.callerLeft {
+		failed := r.now.Before(c.deadline)
+		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+	}
+	switch {
+	case a.replay:
+		r.reject(c, OutcomeUnknown, ProblemLost)
+	case c.keyed && !e.Dispatched:
+		r.settle(c, a.started)
+	case c.keyed:
+		r.rejectDoubtful(c)
+	case e.BodySpent || !r.mayRetry(c):
+		r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
+	case r.suspects.quarantined(c.fingerprint):
+		r.reject(c, OutcomeUnknown, ProblemQuarantined)
+	default:
+		c.mayHaveRun = true
+		r.dispatch(c)
+	}
+}
+
+func (r *Reducer) problemAfterLoss(c *call) ProblemKind {
+	if !r.now.Before(c.deadline) {
+		return ProblemDeadline
+	}
+	return ProblemLost
+}
+
+func (r *Reducer) attemptSettled(e AttemptSettled) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	r.trace.settled(r.now, c, c.attempt.peer, e.Outcome)
+	switch e.Outcome {
+	case OutcomeNotRun:
+		if c.memory == nil {
+			r.settledFree(c)
+			return
+		}
+		r.retryNotRun(c, RefusalSettled, e.BodySpent)
+	case OutcomeRan, OutcomeRunning:
+		r.replay(c)
+	default:
+		r.rejectDoubtful(c)
+	}
+}
+
+func (r *Reducer) answerEnded(e AnswerEnded) {
+	c := r.current(e.Call, e.Attempt)
+	if c == nil {
+		return
+	}
+	a := c.attempt
+	r.endAttempt(c)
+	if a.peer != nil && a.peer.tier == tierOther {
+		r.crossRegion.tokens -= float64(e.Bytes)
+		r.counts.CrossRegionBytes += uint64(e.Bytes)
+	}
+	r.countCall(c, e.Whole && c.status < 500 && r.now.Before(c.deadline))
+	if c.memory != nil {
+		r.closeKey(c, keyRan)
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/worldnode_test.go
@@ -0,0 +1,436 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func (n *worldNode) carryOut(effect Effect) {
+	switch e := effect.(type) {
+	case SendAttempt:
+		n.sendAttempt(e)
+	case ForwardCall:
+		n.forwardCall(e)
+	case SettleAttempt:
+		n.settleAttempt(e)
+	case RelayAnswer:
+		n.relayAnswer(e)
+	case RejectCall:
+		n.rejectCall(e)
+	case CancelCall:
+		n.cancelCall(e)
+	case StartWork:
+		n.startWork(e)
+	case RefuseWork:
+		n.refuseWork(e)
+	case ReplayWork:
+		n.replayWork(e)
+	case OfferAnswers:
+		n.w.send(&delivery{to: e.Address, do: func(p *worldNode) {
+			id := WorkID(p.id())
+			p.replies[id] = func(Effect) {}
+			p.step(AnswersOffered{Work: id, Answers: e.Answers})
+			n.step(AnswersTaken{Address: e.Address})
+		}, lost: func(bool) { n.step(AnswersTaken{Address: e.Address}) }})
+	case SettleReply, ExchangeReply, HandoverReply, AnswersReply:
+		id := e.(WorkEffect).ForWork()
+		n.replies[id](e)
+		delete(n.replies, id)
+	case AppendRecord:
+		n.appendRecord(e)
+	case AskPeer:
+		n.askPeer(e)
+	case OfferHandover:
+		n.offerHandover(e)
+	case TellSuspect:
+		n.w.send(&delivery{to: e.Address, do: func(p *worldNode) { p.step(SuspectHeard{Suspect: e.Suspect}) }, lost: func(bool) {}})
+	case ProbeUpstream:
+		n.step(ProbeEnded{Healthy: true, Bytes: 100})
+	case Stopped:
+		n.alive = false
+	}
+}
+
+// ifWaiting calls do with the call when its handler still waits for this step.
+func (n *worldNode) ifWaiting(id CallID, token int, do func(c *worldCall)) {
+	c := n.calls[id]
+	if c == nil || c.token != token {
+		return
+	}
+	c.busy = false
+	c.token++
+	do(c)
+}
+
+func (n *worldNode) wait(id CallID) int {
+	c := n.calls[id]
+	c.busy = true
+	c.token++
+	return c.token
+}
+
+func (n *worldNode) sendAttempt(e SendAttempt) {
+	c := n.calls[e.Call]
+	if c == nil {
+		return
+	}
+	token := n.wait(e.Call)
+	if !e.Replay {
+		c.attempts = append(c.attempts, e.Attempt)
+	}
+	back := func(ev Event) {
+		n.w.send(&delivery{to: n.address, do: func(to *worldNode) {
+			if to != n {
+				return
+			}
+			n.ifWaiting(e.Call, token, func(*worldCall) { n.step(ev) })
+		}, lost: func(bool) {
+			n.ifWaiting(e.Call, token, func(*worldCall) {
+				n.step(AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true})
+			})
+		}})
+	}
+	// A guard gets what remains, so a late arrival gets as long as a prompt one.
+	remaining := e.Deadline.Sub(n.w.now.Add(n.skew))
+	arrive := func(g *worldNode) {
+		id := WorkID(g.id())
+		g.works[id] = &worldWork{
+			attempt: e.Attempt, name: c.name, keyed: e.Keyed, replay: e.Replay, length: e.Length,
+			reply: back, entry: n, call: e.Call,
+		}
+		if c.name.key == "" {
+			g.works[id].name.key = e.Key
+		}
+		g.step(WorkArrived{
+			Work: id, Attempt: e.Attempt, To: e.Target.Incarnation(), Service: worldService, Kind: e.Kind,
+			Length: e.Length, Keyed: e.Keyed, Deadline: n.w.now.Add(g.skew).Add(remaining),
+			Fingerprint: e.Fingerprint, Replay: e.Replay, Key: e.Key,
+		})
+	}
+	n.w.send(&delivery{to: e.Target.Address(), do: arrive, lost: func(sent bool) {
+		n.ifWaiting(e.Call, token, func(*worldCall) {
+			n.step(AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: sent})
+		})
+	}})
+}
+
+func (n *worldNode) startWork(e StartWork) {
+	k := n.works[e.Work]
+	if n.told || n.planLeaves() {
+		n.w.t.Fatalf("%s started %s after its leave", n.address, k.attempt)
+	}
+	if k.replay {
+		n.w.t.Fatalf("a replay of %s started a run", k.attempt)
+	}
+	if n.w.refused[k.attempt] {
+		n.w.t.Fatalf("attempt %s started after it was reported not run", k.attempt)
+	}
+	if n.w.starts[k.attempt] != "" {
+		n.w.t.Fatalf("attempt %s started twice", k.attempt)
+	}
+	n.w.starts[k.attempt] = n.address
+	k.running = true
+	if k.keyed {
+		n.w.runs[k.name]++
+		if n.w.runs[k.name] > 1 {
+			n.w.t.Fatalf("key %v ran twice, the second time as %s on %s", k.name, k.attempt, n.address)
+		}
+	}
+}
+
+// planLeaves reports whether the node's plan names its upstream as leaving.
+func (n *worldNode) planLeaves() bool {
+	for _, s := range n.r.Plan().Spec().Services {
+		if slices.Contains(s.Leaving, "u"+n.address) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *worldNode) reportNotRun(attempt AttemptID) {
+	if n.w.starts[attempt] != "" && !n.w.voided[attempt] {
+		n.w.t.Fatalf("attempt %s was reported not run after it started on %s", attempt, n.w.starts[attempt])
+	}
+	n.w.refused[attempt] = true
+}
+
+func (n *worldNode) refuseWork(e RefuseWork) {
+	k := n.works[e.Work]
+	delete(n.works, e.Work)
+	if !k.replay {
+		n.reportNotRun(k.attempt)
+	}
+	k.reply(AttemptRefused{Call: k.call, Attempt: k.attempt, Reason: e.Reason})
+}
+
+func (n *worldNode) replayWork(e ReplayWork) {
+	k := n.works[e.Work]
+	delete(n.works, e.Work)
+	k.reply(AttemptAnswered{Call: k.call, Attempt: k.attempt, Status: e.Answer.Status})
+}
+
+// endWork ends a running attempt in one of the ways that an upstream may.
+func (n *worldNode) endWork(id WorkID, how string) {
+	k := n.works[id]
+	delete(n.works, id)
+	switch how {
+	case "answered":
+		n.step(WorkEnded{Work: id, Outcome: OutcomeRan, Status: 200, Answer: &StoredAnswer{Status: 200}})
+		k.reply(AttemptAnswered{Call: k.call, Attempt: k.attempt, Status: 200})
+	case "broken":
+		n.step(WorkEnded{Work: id, Outcome: OutcomeUnknown})
+		k.reply(AttemptLost{Call: k.call, Attempt: k.attempt, Sent: true, Dispatched: true})
+	case "refused":
+		// The upstream refused the connection, so that nothing ran.
+		n.w.voided[k.attempt] = true
+		if k.keyed {
+			n.w.runs[k.name]--
+		}
+		n.step(WorkEnded{Work: id, Outcome: OutcomeNotRun})
+		n.reportNotRun(k.attempt)
+		k.reply(AttemptRefused{Call: k.call, Attempt: k.attempt, Reason: RefusalNoUpstream})
+	}
+}
+
+func (n *worldNode) settleAttempt(e SettleAttempt) {
+	if n.calls[e.Call] == nil {
+		return
+	}
+	token := n.wait(e.Call)
+	asked := n.w.now
+	answer := func(o Outcome) {
+		n.ifWaiting(e.Call, token, func(*worldCall) {
+			n.step(AttemptSettled{Call: e.Call, Attempt: e.Attempt, Outcome: o})
+		})
+	}
+	n.w.send(&delivery{to: e.Target.Address(), do: func(g *worldNode) {
+		id := WorkID(g.id())
+		g.replies[id] = func(reply Effect) {
+			outcome := reply.(SettleReply).Outcome
+			if n.w.now.Sub(asked) > worldSettle {
+				// The asker has closed its connection, so nobody is told.
+				outcome = OutcomeUnknown
+			}
+			if outcome == OutcomeNotRun {
+				g.reportNotRun(e.Attempt)
+			}
+			n.w.send(&delivery{
+				to: n.address,
+				do: func(to *worldNode) {
+					if to == n {
+						answer(outcome)
+					}
+				},
+				lost: func(bool) { answer(OutcomeUnknown) },
+			})
+		}
+		g.step(SettleAsked{Work: id, Attempt: e.Attempt, To: e.Target.Incarnation()})
+	}, lost: func(bool) { answer(OutcomeUnknown) }})
+}
+
+func (n *worldNode) forwardCall(e ForwardCall) {
+	c := n.calls[e.Call]
+	if c == nil {
+		return
+	}
+	token := n.wait(e.Call)
+	n.w.send(&delivery{to: e.Target.Address(), do: func(h *worldNode) {
+		reply := func(outcome Outcome, notHome bool) {
+			n.w.send(&delivery{to: n.address, do: func(to *worldNode) {
+				if to != n {
+					return
+				}
+				n.ifWaiting(e.Call, token, func(c *worldCall) {
+					if notHome {
+						n.step(HomeRefused{Call: e.Call})
+						return
+					}
+					n.finish(c, outcome)
+				})
+			}, lost: func(bool) {
+				n.ifWaiting(e.Call, token, func(*worldCall) { n.step(HomeLost{Call: e.Call, Sent: true}) })
+			}})
+		}
+		if h.r.Self.Incarnation != e.Target.Incarnation() {
+			reply(OutcomeUnknown, true)
+			return
+		}
+		h.call(c.name, c.keyed, e.Key, c.deadline, true, reply)
+	}, lost: func(sent bool) {
+		n.ifWaiting(e.Call, token, func(*worldCall) { n.step(HomeLost{Call: e.Call, Sent: sent}) })
+	}})
+}
+
+// call begins a call at the node.
+func (n *worldNode) call(
+	name keyName, keyed bool, key string, deadline time.Time, forwarded bool, finish func(Outcome, bool),
+) {
+	kind := "read"
+	if keyed {
+		kind = "sign"
+	}
+	n.callKind(kind, name, keyed, key, deadline, forwarded, finish)
+}
+
+func (n *worldNode) callKind(
+	kind string, name keyName, keyed bool, key string, deadline time.Time, forwarded bool, finish func(Outcome, bool),
+) {
+	if !n.alive || n.frozen {
+		return
+	}
+	c := &worldCall{id: CallID(n.id()), name: name, keyed: keyed, deadline: deadline, finish: finish}
+	n.calls[c.id] = c
+	n.step(CallArrived{
+		Call: c.id, Service: worldService, Kind: kind, Key: key, Deadline: deadline.Add(n.skew),
+		Retries: -1, Fingerprint: 7, Forwarded: forwarded,
+	})
+}
+
+func (n *worldNode) finish(c *worldCall, outcome Outcome) {
+	if n.calls[c.id] == nil {
+		return
+	}
+	delete(n.calls, c.id)
+	n.w.outcomes[outcome]++
+	n.step(CallEnded{Call: c.id})
+	if c.finish != nil {
+		c.finish(outcome, false)
+	}
+}
+
+func (n *worldNode) relayAnswer(e RelayAnswer) {
+	c := n.calls[e.Call]
+	if c == nil {
+		return
+	}
+	n.step(AnswerEnded{Call: e.Call, Attempt: e.Attempt, Whole: true})
+	n.finish(c, OutcomeRan)
+}
+
+func (n *worldNode) rejectCall(e RejectCall) {
+	c := n.calls[e.Call]
+	if c == nil {
+		return
+	}
+	if e.NotHome {
+		delete(n.calls, e.Call)
+		n.step(CallEnded{Call: e.Call})
+		c.finish(OutcomeUnknown, true)
+		return
+	}
+	if e.Outcome == OutcomeNotRun {
+		for _, attempt := range c.attempts {
+			if n.w.starts[attempt] != "" && !n.w.voided[attempt] {
+				for _, step := range n.r.Explain(string(attempt)) {
+					n.w.t.Logf("%+v", step)
+				}
+				n.w.t.Fatalf("call %d on %s was answered not run, but %s started", e.Call, n.address, attempt)
+			}
+		}
+	}
+	n.finish(c, e.Outcome)
+}
+
+func (n *worldNode) cancelCall(e CancelCall) {
+	c := n.calls[e.Call]
+	if c == nil || !c.busy || len(c.attempts) == 0 {
+		return
+	}
+	n.giveUp(c)
+}
+
+// giveUp ends a call's wait for its attempt; the guard hears of it later.
+func (n *worldNode) giveUp(c *worldCall) {
+	attempt := AttemptID("")
+	if state := n.r.calls[c.id]; state != nil && state.attempt != nil {
+		attempt = state.attempt.id
+	}
+	n.ifWaiting(c.id, c.token, func(*worldCall) {
+		n.step(AttemptLost{Call: c.id, Attempt: attempt, Sent: true})
+	})
+	for _, address := range n.w.addresses() {
+		g := n.w.nodes[address]
+		for _, id := range slices.Sorted(maps.Keys(g.works)) {
+			if k := g.works[id]; k.attempt == attempt && k.entry == n {
+				n.w.send(&delivery{to: address, do: func(to *worldNode) {
+					if to == g {
+						g.workLeft(id)
+					}
+				}, lost: func(bool) {}})
+			}
+		}
+	}
+}
+
+func (n *worldNode) workLeft(id WorkID) {
+	k := n.works[id]
+	if k == nil {
+		return
+	}
+	if k.running {
+		n.endWork(id, "broken")
+		return
+	}
+	n.step(WorkLeft{Work: id})
+	delete(n.works, id)
+}
+
+func (n *worldNode) appendRecord(e AppendRecord) {
+	var try func(*worldNode)
+	try = func(*worldNode) {
+		if !n.w.logUp {
+			n.w.send(&delivery{log: true, do: try, lost: func(bool) {}})
+			return
+		}
+		n.w.log = append(n.w.log, e.Record)
+		offset := int64(len(n.w.log))
+		n.w.send(&delivery{to: n.address, do: func(to *worldNode) {
+			if to == n {
+				n.step(RecordAppended{ID: e.Record.ID, Offset: offset})
+			}
+		}, lost: func(bool) {}})
+	}
+	n.w.send(&delivery{log: true, do: try, lost: func(bool) {}})
+}
+
+func (n *worldNode) askPeer(e AskPeer) {
+	n.w.send(&delivery{to: e.Address, do: func(p *worldNode) {
+		id := WorkID(p.id())
+		p.replies[id] = func(reply Effect) {
+			r := reply.(ExchangeReply)
+			n.w.send(&delivery{to: n.address, do: func(to *worldNode) {
+				if to == n {
+					n.step(PeerHeard{
+						From: e.Address, Digest: r.Digest, Members: r.Members, Plan: r.Plan,
+						State: r.State, Suspects: r.Suspects,
+					})
+				}
+			}, lost: func(bool) {}})
+		}
+		p.step(PeerAsked{Work: id, Digest: e.Digest, Members: e.Members})
+	}, lost: func(bool) { n.step(PeerSilent{Address: e.Address}) }})
+}
+
+func (n *worldNode) offerHandover(e OfferHandover) {
+	deliver := &delivery{to: e.Change.To.Address, do: func(p *worldNode) {
+		id := WorkID(p.id())
+		p.replies[id] = func(reply Effect) {
+			accepted := reply.(HandoverReply).Accepted
+			n.w.send(&delivery{to: n.address, do: func(to *worldNode) {
+				if to == n {
+					n.step(HandoverAnswered{Change: e.Change, Accepted: accepted})
+				}
+			}, lost: func(bool) {}})
+		}
+		p.step(HandoverOffered{Work: id, Change: e.Change, Records: e.Records, Final: e.Final})
+	}, lost: func(bool) {}}
+	n.w.send(deliver)
+	if rapid.Bool().Draw(n.w.t, "offer twice") {
+		twin := *deliver
+		n.w.send(&twin)
+	}
+}
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -21,6 +21,8 @@
 	settleAllowance = 500 * time.Millisecond
 	// homeAllowance is how long after a call's deadline its home may still answer.
 	homeAllowance = settleAllowance + 100*time.Millisecond
+	// writeAllowance is how long after a call's deadline its answer may be written.
+	writeAllowance = 2 * time.Second
 )
 
 // mesh is how an entry reaches the other nodes.
@@ -42,6 +44,8 @@
 	Guard http.RoundTripper
 	// Self is this process.
 	Self reducer.NodeID
+	// BodyTime bounds the reading of a body that is buffered.
+	BodyTime time.Duration
 	// Stopping reports whether kept-alive connections are to be closed.
 	Stopping func() bool
 }
@@ -71,7 +75,10 @@
 		writeProblem(w, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest}, err.Error())
 		return
 	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(e.BodyTime))
 	body, err := newRequestBody(req)
+	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		writeProblem(w, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest}, "body: "+err.Error())
 		return
@@ -83,7 +90,7 @@
 			arrived.Fingerprint = seen
 		}
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	_ = controller.EnableFullDuplex()
 	x := &exchange{entry: e, writer: w, req: req, body: body, fingerprint: arrived.Fingerprint}
 	x.run(arrived)
 }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -48,6 +48,10 @@
 		x.entry.Loop.Do(reducer.CallerLeft{Call: x.mailbox.ID()})
 	})
 	defer stop()
+	// A caller that does not read its answer must not hold a slot for longer.
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetWriteDeadline(x.entry.Loop.CallDeadline(x.mailbox).Add(writeAllowance))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	for !x.step(x.next()) {
 		continue
 	}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -116,7 +116,8 @@
 	n.guard.Prepare()
 	n.entry = &caller.Entry{
 		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
-		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
+		BodyTime: n.Settings.Limits.BodyTime,
+		Self:     reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
 	}
 	if n.Log == nil {
 		n.Log = stream.NewClient(n.Settings.LogURL, n.control.Dial)
--- a/internal/operator/demo/fleet.go
+++ b/internal/operator/demo/fleet.go
@@ -74,7 +74,7 @@
 			PeersAnnounced: addresses[1],
 		},
 		Limits: settings.Limits{
-			HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: time.Minute, MaxConnections: 1024,
+			HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: time.Minute, BodyTime: time.Minute, MaxConnections: 1024,
 		},
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -42,6 +42,7 @@
 	HeaderBytes    int
 	HeaderTime     time.Duration
 	IdleTime       time.Duration
+	BodyTime       time.Duration
 	MaxConnections int
 }
 
@@ -127,6 +128,7 @@
 			HeaderBytes:    r.integer("limits", "header_bytes", 64<<10, 1<<10, 1<<20),
 			HeaderTime:     r.duration("limits", "header_time", 5*time.Second, 10*time.Millisecond, time.Minute),
 			IdleTime:       r.duration("limits", "idle_time", 90*time.Second, time.Second, time.Hour),
+			BodyTime:       r.duration("limits", "body_time", 30*time.Second, 10*time.Millisecond, time.Hour),
 			MaxConnections: r.integer("limits", "connections", 4096, 1, 1<<20),
 		},
 		Decisions: r.decisions(),
