Tell slowness from waiting, and let crowded guards refuse impatient work

Guards now report the wait of each attempt, and it is taken off; what is left is compared. Cause 2: long work counted like short work, so lookups went where uploads held the slots. Reports now tell short from long; a lookup is compared by the slots that long work leaves. Long work holds at most half of the slots (was: all but two). Cause 3: with stale reports a choice can be wrong; the first attempt of a short call now asks a crowded guard to refuse, and the retry goes elsewhere in the region. Shares are levelled to a difference of one.

--- a/experiments_fleet_test.go
+++ b/experiments_fleet_test.go
@@ -38,8 +38,10 @@
 	slowness atomic.Int64
 	failing  atomic.Bool
 	calls    atomic.Int64
-	probes   atomic.Int64
-	bytes    atomic.Int64
+	// needlessProbes counts probes within a second of an answer.
+	needlessProbes atomic.Int64
+	answeredAt     atomic.Int64
+	bytes          atomic.Int64
 	// next is the path of the call that each call makes in turn, through callers.
 	next    string
 	callers string
@@ -128,9 +130,12 @@
 // ServeHTTP holds a slot for the time that the call's work takes.
 func (u *experimentUpstream) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == "/-/health" {
-		u.probes.Add(1)
+		if time.Since(time.Unix(0, u.answeredAt.Load())) < time.Second {
+			u.needlessProbes.Add(1)
+		}
 		return
 	}
+	defer func() { u.answeredAt.Store(time.Now().UnixNano()) }()
 	u.calls.Add(1)
 	n, _ := io.Copy(io.Discard, req.Body)
 	u.bytes.Add(n)
--- a/experiments_load_test.go
+++ b/experiments_load_test.go
@@ -16,7 +16,7 @@
 	const base, crest, signShare = 0.3, 1.5, 0.2
 	var share, calm, retries samples
 	for round := range experimentRounds {
-		f := trustFleet(b, reducer.PolicyExpectedCompletion)
+		f := trustFleet(b, reducer.PolicyExpectedCompletion, 0)
 		before := f.counts()
 		result := f.offer(load.Experiment{
 			Duration: 6 * time.Second, Rate: base * trustCapacity, Crest: crest * trustCapacity, Period: time.Second,
@@ -42,9 +42,9 @@
 // measureBlocking adds uploads that would take half of the slots' time.
 func measureBlocking(b *testing.B) []verdict {
 	var with, without, done, overhead samples
-	probes := uint64(0)
+	probes := int64(0)
 	for round := range experimentRounds {
-		f := trustFleet(b, reducer.PolicyExpectedCompletion)
+		f := trustFleet(b, reducer.PolicyExpectedCompletion, 0)
 		for _, u := range f.upstreams {
 			u.longWork.Store(int64(600 * time.Millisecond))
 		}
@@ -62,7 +62,9 @@
 		with = append(with, milliseconds(result.Kinds[0].P99))
 		done = append(done, 100*float64(result.Kinds[1].OnTime)/float64(result.Kinds[1].Calls))
 		after := f.counts()
-		probes += after.Probes - before.Probes
+		for _, u := range f.upstreams {
+			probes += u.needlessProbes.Load()
+		}
 		calls := after.Started - before.Started
 		const loadHeaderBytes = 40
 		body := float64(result.Kinds[1].Calls) * (1 << 20)
@@ -76,7 +78,7 @@
 			fmt.Sprintf("%.2fx: %s ms, without %s", ratio, with.text("%.1f"), without.text("%.1f")), ratio <= 1.2,
 		},
 		{"blocking: uploads on time", "all finish", done.text("%.1f") + " %", done.median() >= 99.9},
-		{"measuring: probes while calls tell", "0", strconv.FormatUint(probes, 10), probes == 0},
+		{"measuring: probes within a second of an answer", "0", strconv.FormatInt(probes, 10), probes == 0},
 		{"measuring: load reports, of all bytes with uploads", "below 1%", overhead.text("%.3f") + " %", overhead.median() < 1},
 	}
 }
@@ -124,7 +126,7 @@
 func measureOutage(b *testing.B) []verdict {
 	var ratio samples
 	for round := range experimentRounds {
-		f := trustFleet(b, reducer.PolicyExpectedCompletion)
+		f := trustFleet(b, reducer.PolicyExpectedCompletion, 0)
 		sign := signKind(0.3)
 		sign.ResendShare = 0.2
 		e := load.Experiment{
@@ -149,7 +151,7 @@
 func measureKill(b *testing.B) []verdict {
 	var reads, keyless, chosen samples
 	for round := range experimentRounds {
-		f := trustFleet(b, reducer.PolicyExpectedCompletion)
+		f := trustFleet(b, reducer.PolicyExpectedCompletion, 0)
 		own := signKind(0.3)
 		own.ResendShare = 1
 		e := load.Experiment{
--- a/experiments_test.go
+++ b/experiments_test.go
@@ -22,6 +22,7 @@
 	trustUpstreams   = 7
 	trustSlots       = 6
 	trustWork        = 20 * time.Millisecond
+	staleReports     = 500 * time.Millisecond
 	// trustCapacity is the calls a second that the roster's upstreams can run.
 	trustCapacity = trustUpstreams * trustSlots * float64(time.Second/trustWork)
 )
@@ -83,13 +84,14 @@
 	_ = w.Flush()
 }
 
-// trustFleet is the Trust's roster service with a routing policy.
-func trustFleet(b *testing.B, policy reducer.PolicyName) *experimentFleet {
+// trustFleet is the Trust's roster service with a routing policy, and load reports
+// that are renewed once a period.
+func trustFleet(b *testing.B, policy reducer.PolicyName, period time.Duration) *experimentFleet {
 	b.Helper()
 	f := newExperimentFleet(b)
 	zones := []string{"amman-1", "amman-2"}
 	for i := range trustUpstreams {
-		n := f.addNode("amman", zones[i%2], "[routing]\npolicy = "+string(policy)+"\nreport_period = 500ms")
+		n := f.addNode("amman", zones[i%2], fmt.Sprintf("[routing]\npolicy = %s\nreport_period = %v", policy, period))
 		f.addUpstream(n, "roster", trustSlots, trustWork)
 	}
 	f.publish(experimentPlan("roster"))
@@ -134,7 +136,7 @@
 	var calm samples
 	for round := range experimentRounds {
 		for _, policy := range policies {
-			f := trustFleet(b, policy)
+			f := trustFleet(b, policy, staleReports)
 			e := load.Experiment{Duration: 4 * time.Second, Rate: 0.8 * trustCapacity, Kinds: []load.Kind{readKind(1)}}
 			if policy == reducer.PolicyExpectedCompletion {
 				calm = append(calm, milliseconds(f.offer(e, round).Kinds[0].P99))
@@ -209,7 +211,7 @@
 func measureFailing(b *testing.B) []verdict {
 	var drawn samples
 	for round := range experimentRounds {
-		f := trustFleet(b, reducer.PolicyExpectedCompletion)
+		f := trustFleet(b, reducer.PolicyExpectedCompletion, 0)
 		f.upstreams[2].failing.Store(true)
 		before := f.upstreams[2].calls.Load()
 		result := f.offer(load.Experiment{
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -24,10 +24,12 @@
 	// mayHaveRun tells that an attempt of an idempotent call was lost, so that
 	// the call can't be reported as not run any more.
 	mayHaveRun bool
-	status     int
-	counted    bool
-	tried      []*peer
-	attempt    *attempt
+	// crowded tells that a crowded upstream refused the call.
+	crowded bool
+	status  int
+	counted bool
+	tried   []*peer
+	attempt *attempt
 	// memory is the key's record when this call holds it open.
 	memory *keyRecord
 }
@@ -147,9 +149,17 @@
 		Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target, Key: c.key,
 		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
 		Retries: c.retriesLeft, Replay: c.attempt.replay, Fingerprint: c.fingerprint,
+		Impatient: r.impatient(c),
 	}
 }
 
+// impatient reports whether a crowded upstream should refuse the call's attempt: it
+// is the first one, and another can be paid for.
+func (r *Reducer) impatient(c *call) bool {
+	return len(c.tried) == 1 && !c.attempt.replay && c.kind.kind.Length == LengthShort &&
+		c.retriesLeft > 0 && r.retries.tokens >= 1
+}
+
 func (r *Reducer) problemWithoutPeer(c *call) ProblemKind {
 	if len(c.tried) > 0 {
 		return ProblemOverloaded
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -48,17 +48,19 @@
 // The reasons of a guard's refusal.
 const (
 	RefusalAnswerNotKept RefusalReason = "answer-not-kept"
-	RefusalDeadline      RefusalReason = "deadline"
-	RefusalDisplaced     RefusalReason = "displaced"
-	RefusalFull          RefusalReason = "full"
-	RefusalLeaving       RefusalReason = "leaving"
-	RefusalMalformed     RefusalReason = "malformed"
-	RefusalMemoryFull    RefusalReason = "memory-full"
-	RefusalNoUpstream    RefusalReason = "no-upstream"
-	RefusalQuarantined   RefusalReason = "quarantined"
-	RefusalRestarted     RefusalReason = "restarted"
-	RefusalSettled       RefusalReason = "settled"
-	RefusalUnreachable   RefusalReason = "unreachable"
+	// RefusalBusy is for attempts that would rather try elsewhere than wait.
+	RefusalBusy        RefusalReason = "busy"
+	RefusalDeadline    RefusalReason = "deadline"
+	RefusalDisplaced   RefusalReason = "displaced"
+	RefusalFull        RefusalReason = "full"
+	RefusalLeaving     RefusalReason = "leaving"
+	RefusalMalformed   RefusalReason = "malformed"
+	RefusalMemoryFull  RefusalReason = "memory-full"
+	RefusalNoUpstream  RefusalReason = "no-upstream"
+	RefusalQuarantined RefusalReason = "quarantined"
+	RefusalRestarted   RefusalReason = "restarted"
+	RefusalSettled     RefusalReason = "settled"
+	RefusalUnreachable RefusalReason = "unreachable"
 )
 
 // StoredAnswer is a whole answer that a guard keeps for resends.
@@ -73,16 +75,18 @@
 type (
 	// SendAttempt sends the call's request to the guard of an upstream.
 	SendAttempt struct {
-		Call        CallID
-		Attempt     AttemptID
-		Target      NodeID
-		Key         string
-		Kind        string
-		Length      Length
-		Keyed       bool
-		Deadline    time.Time
-		Retries     int
-		Replay      bool
+		Call     CallID
+		Attempt  AttemptID
+		Target   NodeID
+		Key      string
+		Kind     string
+		Length   Length
+		Keyed    bool
+		Deadline time.Time
+		Retries  int
+		Replay   bool
+		// Impatient asks the guard to refuse rather than to let the attempt wait.
+		Impatient   bool
 		Fingerprint uint64
 	}
 
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -147,6 +147,8 @@
 		Fingerprint uint64
 		// Replay asks for the first run's answer and never starts a run.
 		Replay bool
+		// Impatient asks for a refusal where the attempt would wait for long.
+		Impatient bool
 	}
 
 	// WorkEnded is the end of a started attempt.
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -102,8 +103,14 @@
 }
 
 // longSlots is how many slots long work may hold.
-func (g *guard) longSlots(reserve int) int {
-	return max(1, g.slots-reserve)
+func (g *guard) longSlots(reserve float64) int {
+	return longSlots(g.slots, reserve)
+}
+
+// longSlots is how many of an upstream's slots long work may hold when a share of
+// them is reserved for short work.
+func longSlots(slots int, reserve float64) int {
+	return max(1, slots-int(math.Ceil(reserve*float64(slots))))
 }
 
 func (g *guard) queued() int { return len(g.short.works) + len(g.long.works) }
@@ -135,7 +142,9 @@
 
 func (r *Reducer) loadReport() LoadReport {
 	g := &r.guard
-	return NewLoadReport(g.running, g.queued(), g.slots, g.shortTime, r.inForce.offset)
+	short := g.running - g.runningLong + len(g.short.works)
+	long := g.runningLong + len(g.long.works)
+	return NewLoadReport(short, long, g.slots, g.shortTime, r.inForce.offset)
 }
 
 // LoadReport returns the guard's load as it is told with every answer.
@@ -196,7 +205,11 @@
 		r.replayWork(w)
 		return
 	}
-	if reason := r.refusalFor(w, e.Service); reason != "" {
+	reason := r.refusalFor(w, e.Service)
+	if reason == "" && e.Impatient && r.crowded(w) {
+		reason = RefusalBusy
+	}
+	if reason != "" {
 		r.refuseWork(w, reason)
 		return
 	}
@@ -231,6 +244,17 @@
 	}
 }
 
+// crowded reports whether an attempt would wait for more than a part of a service
+// time, so that another upstream is worth a try.
+func (r *Reducer) crowded(w *work) bool {
+	g := &r.guard
+	return g.running >= g.slots && g.queueOf(w.length).ahead(w)*crowdedShare >= g.slots
+}
+
+// crowdedShare is the part of the slots that may wait before an upstream is crowded:
+// one in so many.
+const crowdedShare = 3
+
 // canFinish reports whether an attempt should complete by its deadline.
 func (r *Reducer) canFinish(w *work) bool {
 	g := &r.guard
--- a/internal/decision/reducer/handover.go
+++ b/internal/decision/reducer/handover.go
@@ -160,13 +160,9 @@
 		return
 	}
 	target, held := r.leastShares(table, homes)
-	fair := partitionCount / (len(homes) + 1)
-	excess := len(mine) - fair
-	if excess <= 1 || held >= fair {
-		return
+	if count := (len(mine) - held) / 2; count > 0 {
+		r.beginHandover(service, target, mine[:count])
 	}
-	count := min(excess, fair-held)
-	r.beginHandover(service, target, mine[:count])
 }
 
 // homesOf returns the other members that can be home to a service's keys.
--- a/internal/decision/reducer/load.go
+++ b/internal/decision/reducer/load.go
@@ -9,20 +9,22 @@
 
 // LoadReport is what a guard tells about its load with every answer.
 type LoadReport struct {
-	running     int
-	queued      int
+	short       int
+	long        int
 	slots       int
 	serviceTime time.Duration
+	waited      time.Duration
 	planOffset  int64
 }
 
-const loadReportFields = 5
+const loadReportFields = 6
 
-var errLoadReport = errors.New("load report needs five comma-separated whole numbers that are not negative")
+var errLoadReport = errors.New("load report needs six comma-separated whole numbers that are not negative")
 
-// NewLoadReport returns the load of a guard whose short work takes serviceTime.
-func NewLoadReport(running, queued, slots int, serviceTime time.Duration, planOffset int64) LoadReport {
-	return LoadReport{running: running, queued: queued, slots: slots, serviceTime: serviceTime, planOffset: planOffset}
+// NewLoadReport returns the load of a guard that holds a number of short and of long
+// attempts, running or queued, and whose short work takes serviceTime.
+func NewLoadReport(short, long, slots int, serviceTime time.Duration, planOffset int64) LoadReport {
+	return LoadReport{short: short, long: long, slots: slots, serviceTime: serviceTime, planOffset: planOffset}
 }
 
 // ParseLoadReport returns the report that String wrote, or an error that names
@@ -43,8 +45,9 @@
 		rest = after
 	}
 	return LoadReport{
-		running: int(values[0]), queued: int(values[1]), slots: int(values[2]),
-		serviceTime: time.Duration(values[3]) * time.Microsecond, planOffset: values[4],
+		short: int(values[0]), long: int(values[1]), slots: int(values[2]),
+		serviceTime: time.Duration(values[3]) * time.Microsecond,
+		waited:      time.Duration(values[4]) * time.Microsecond, planOffset: values[5],
 	}, nil
 }
 
@@ -54,17 +57,25 @@
 // PlanOffset returns the offset of the plan in force at the guard.
 func (l LoadReport) PlanOffset() int64 { return l.planOffset }
 
+// WithWait returns the report of an attempt that waited in the guard's queue.
+func (l LoadReport) WithWait(waited time.Duration) LoadReport {
+	l.waited = max(0, waited)
+	return l
+}
+
 // String returns the report's text form for a header.
 func (l LoadReport) String() string {
 	b := make([]byte, 0, 48)
-	b = strconv.AppendInt(b, int64(l.running), 10)
+	b = strconv.AppendInt(b, int64(l.short), 10)
 	b = append(b, ',')
-	b = strconv.AppendInt(b, int64(l.queued), 10)
+	b = strconv.AppendInt(b, int64(l.long), 10)
 	b = append(b, ',')
 	b = strconv.AppendInt(b, int64(l.slots), 10)
 	b = append(b, ',')
 	b = strconv.AppendInt(b, l.serviceTime.Microseconds(), 10)
 	b = append(b, ',')
+	b = strconv.AppendInt(b, l.waited.Microseconds(), 10)
+	b = append(b, ',')
 	b = strconv.AppendInt(b, l.planOffset, 10)
 	return string(b)
 }
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -11,7 +11,7 @@
 	if !a.replay {
 		failed := e.Status >= 500
 		a.peer.reported(e.Load, r.now, r.Settings.ReportPeriod)
-		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+		a.peer.answered(r.now, a.length, r.now.Sub(a.started)-e.Load.waited, failed, r.median(c.service))
 	}
 	r.askForPlan(a.peer, e.Load.planOffset)
 	r.trace.add(r.now, c, a.peer, TraceAnswered)
@@ -31,6 +31,7 @@
 		return
 	}
 	r.noteRefusal(a.peer, e)
+	c.crowded = c.crowded || e.Reason == RefusalBusy
 	if e.Reason == RefusalQuarantined {
 		r.rejectNotRun(c, ProblemQuarantined)
 		return
@@ -69,7 +70,7 @@
 	r.trace.add(r.now, c, a.peer, TraceLost)
 	if !a.replay && !c.callerLeft {
 		failed := r.now.Before(c.deadline)
-		a.peer.answered(a.length, r.now.Sub(a.started), failed, r.median(c.service))
+		a.peer.answered(r.now, a.length, r.now.Sub(a.started), failed, r.median(c.service))
 	}
 	switch {
 	case a.replay:
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,7 +16,13 @@
 	ejectBackoff      = time.Second
 	maxEject          = 30 * time.Second
 	reportHalfLife    = 200 * time.Millisecond
-	avoidRefusing     = time.Second
+	maxFadeHalves     = 8
+	minServiceTime    = 100 * time.Microsecond
+	staleSample       = time.Second
+	// forgetSteps is how many renewals take a stale service time most of the way to
+	// the median.
+	forgetSteps   = 8
+	avoidRefusing = time.Second
 )
 
 // peer is what an entry knows of one member and its upstream.
@@ -32,9 +39,10 @@
 	report     LoadReport
 	reportedAt time.Time
 	// ownAtReport counts this entry's attempts that the report includes.
-	ownAtReport int
+	ownAtReport [2]int
 
 	serviceTime time.Duration
+	sampledAt   time.Time
 	samples     int
 	failureRate float64
 	outcomes    int
@@ -101,25 +109,45 @@
 	}
 	p.report = l
 	p.reportedAt = now
-	p.ownAtReport = p.outstanding()
+	p.ownAtReport = [2]int{len(p.starts[0]), len(p.starts[1])}
 }
 
-// load estimates the work at the upstream now: this entry's own is exact, and
-// what others had there when the report was made fades with its age.
+// loads estimates the short and the long work at the upstream now: this entry's own
+// is exact, and what others had there when the report was made fades with its age.
+func (p *peer) loads(now time.Time) (short, long float64) {
+	fade := p.fade(now)
+	short = float64(len(p.starts[0])) + fade*float64(max(0, p.report.short-p.ownAtReport[0]))
+	long = float64(len(p.starts[1])) + fade*float64(max(0, p.report.long-p.ownAtReport[1]))
+	return short, long
+}
+
+// load estimates all work at the upstream now.
 func (p *peer) load(now time.Time) float64 {
-	own := float64(p.outstanding())
-	others := float64(p.report.running + p.report.queued - p.ownAtReport)
-	if others <= 0 {
-		return own
-	}
-	age := now.Sub(p.reportedAt)
-	for ; age >= reportHalfLife; age -= reportHalfLife {
-		others /= 2
-		if others < 0.1 {
-			return own
-		}
+	short, long := p.loads(now)
+	return short + long
+}
+
+// fade is how much of the last report still counts.
+func (p *peer) fade(now time.Time) float64 {
+	if p.report.IsZero() {
+		return 0
+	}
+	halves := float64(now.Sub(p.reportedAt)) / float64(reportHalfLife)
+	if halves > maxFadeHalves {
+		return 0
+	}
+	return math.Exp2(-halves)
+}
+
+// crowd is the work that a new attempt of a length class would share slots with, and
+// the slots that they have.
+func (p *peer) crowd(l Length, now time.Time, reserve float64) (load, slots float64) {
+	short, long := p.loads(now)
+	mostLong := float64(longSlots(max(1, p.member.Slots()), reserve))
+	if l == LengthLong {
+		return long, mostLong
 	}
-	return own + others*(1-float64(age)/float64(2*reportHalfLife))
+	return short, max(1, p.slots()-min(long, mostLong))
 }
 
 // slots returns how many calls the upstream runs at a time, at least one.
@@ -127,8 +155,8 @@
 	return float64(max(1, p.member.Slots()))
 }
 
-// answered takes the time and the status of an answer.
-func (p *peer) answered(l Length, took time.Duration, failed bool, median time.Duration) {
+// answered takes the time and the status of an answer that came now.
+func (p *peer) answered(now time.Time, l Length, took time.Duration, failed bool, median time.Duration) {
 	p.outcomes++
 	p.unreachableTimes = 0
 	p.avoidUntil = time.Time{}
@@ -149,20 +177,23 @@
 		p.serviceTime = took
 	}
 	p.samples++
+	p.sampledAt = now
 	p.serviceTime += time.Duration(serviceTimeWeight * float64(took-p.serviceTime))
 }
 
-// expectedServiceTime is the smoothed time of short work, or the age of the
-// oldest short attempt in flight when that is longer.
+// expectedServiceTime is the smoothed time of short work without its wait for a slot.
+// It is the age of the oldest short attempt in flight, less the wait that the load
+// explains, when that is longer: a stall shows before any answer does.
 func (p *peer) expectedServiceTime(now time.Time, median time.Duration) time.Duration {
 	expected := p.serviceTime
 	if p.samples == 0 {
 		expected = median
 	}
 	if short := p.starts[0]; len(short) > 0 {
-		expected = max(expected, now.Sub(short[0]))
+		wait := time.Duration(p.load(now) / p.slots() * float64(max(expected, median)))
+		expected = max(expected, now.Sub(short[0])-wait)
 	}
-	return max(expected, 100*time.Microsecond)
+	return max(expected, minServiceTime)
 }
 
 // usable reports whether a choice may take the peer.
@@ -194,6 +225,14 @@
 	}
 }
 
+// forget lets a service time that is no longer measured drift to the median, so
+// that an upstream that was slow once is tried again.
+func (p *peer) forget(now time.Time, median time.Duration) {
+	if p.samples > 0 && now.Sub(p.sampledAt) > staleSample {
+		p.serviceTime += (median - p.serviceTime) / forgetSteps
+	}
+}
+
 // outlier reports whether the peer answers far slower than its service, or
 // fails much of the time.
 func (p *peer) outlier(now time.Time, median time.Duration) bool {
@@ -232,6 +271,11 @@
 		slices.Sort(times)
 		s.median = times[len(times)/2]
 	}
+	for _, p := range s.all {
+		if !p.onTrial {
+			p.forget(now, s.median)
+		}
+	}
 	if len(s.all) < minEjectMembers {
 		return
 	}
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -80,6 +80,12 @@
 		return p
 	}
 	r.crossRegion.refill(r.now)
+	if c.crowded {
+		// One crowded upstream is no reason to leave the region.
+		if p := r.bestOfNear(s, c); p != nil {
+			return p
+		}
+	}
 	if r.crossRegion.tokens > 0 {
 		if p := r.bestOf(s, s.tiers[tierOther], c, 1); p != nil {
 			return p
@@ -101,8 +107,9 @@
 		if p == nil {
 			continue
 		}
-		score := r.score(s, p)
-		if best == nil || score < bestScore {
+		load, slots := p.crowd(c.kind.kind.Length, r.now, r.Settings.ShortReserve)
+		score := r.score(s, p, load/slots)
+		if best == nil || clearlyLess(score, bestScore) {
 			best = p
 			bestScore = score
 		}
@@ -115,6 +122,11 @@
 	if r.crossRegion.tokens > 0 {
 		return r.bestOf(s, s.all, c, 0)
 	}
+	return r.bestOfNear(s, c)
+}
+
+// bestOfNear samples the own region, however full its upstreams are.
+func (r *Reducer) bestOfNear(s *servicePeers, c *call) *peer {
 	var near []*peer
 	for t := tierSelf; t < tierOther; t++ {
 		near = append(near, s.tiers[t]...)
@@ -159,13 +171,13 @@
 		if c.hasTried(p) || !p.usable(r.now) {
 			continue
 		}
-		load := p.load(r.now)
-		if room > 0 && load >= room*p.slots() {
+		load, slots := p.crowd(c.kind.kind.Length, r.now, r.Settings.ShortReserve)
+		if room > 0 && load >= room*slots {
 			continue
 		}
-		score := r.score(s, p)
+		score := r.score(s, p, load/slots)
 		r.trace.consider(p, score, load)
-		if best == nil || score < bestScore {
+		if best == nil || clearlyLess(score, bestScore) {
 			best = p
 			bestScore = score
 		}
@@ -199,12 +211,19 @@
 
 // score is when an attempt sent now should complete, scaled by the weight that
 // the plan gives to the upstream's region.
-func (r *Reducer) score(s *servicePeers, p *peer) time.Duration {
+func (r *Reducer) score(s *servicePeers, p *peer, crowding float64) time.Duration {
 	service := p.expectedServiceTime(r.now, s.median)
-	wait := time.Duration(float64(service) * p.load(r.now) / p.slots())
+	wait := time.Duration(float64(service) * crowding)
 	return (tierDelays[p.tier] + service + wait) / time.Duration(max(1, p.weight))
 }
 
+// clearlyLess reports whether a score beats the best one so far. Scores that are
+// nearly equal count as ties, which the random order of the sample decides.
+func clearlyLess(score, best time.Duration) bool {
+	const tie = 16
+	return score < best-best/tie
+}
+
 // leastOutstanding takes the upstream with the fewest own attempts in flight.
 type leastOutstanding struct{}
 
@@ -254,7 +273,7 @@
 		return peers[0]
 	}
 	a, b := peers[0], peers[1]
-	if b.report.running+b.report.queued < a.report.running+a.report.queued {
+	if b.report.short+b.report.long < a.report.short+a.report.long {
 		return b
 	}
 	return a
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -11,8 +11,8 @@
 	// ReportPeriod is how long a load report is kept before a newer one is taken;
 	// zero takes every one. Experiments make reports stale with it.
 	ReportPeriod time.Duration
-	// ShortReserve is how many slots long work never takes.
-	ShortReserve int
+	// ShortReserve is the share of an upstream's slots that long work never takes.
+	ShortReserve float64
 	// QueuePerSlot bounds the guard's queue.
 	QueuePerSlot int
 	// Warmup is how long a new upstream takes to open all its slots.
@@ -63,7 +63,7 @@
 	return Settings{
 		Policy:            PolicyExpectedCompletion,
 		Sample:            3,
-		ShortReserve:      2,
+		ShortReserve:      0.5,
 		QueuePerSlot:      4,
 		Warmup:            2 * time.Second,
 		RetryShare:        0.08,
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -16,7 +16,7 @@
 	worldSlots   = 3
 	// worldSettle is how long an entry waits for a guard's word.
 	worldSettle  = 500 * time.Millisecond
-	worldReserve = 1
+	worldReserve = 1.0 / 3
 )
 
 // world joins several reducers by an in-memory fake of the network, the log and
@@ -166,7 +166,7 @@
 	if g.running > g.slots && g.running > 1 {
 		n.w.t.Fatalf("%s runs %d on %d slots", n.address, g.running, g.slots)
 	}
-	if g.runningLong > max(1, g.slots-worldReserve) {
+	if g.runningLong > max(1, g.slots-1) {
 		n.w.t.Fatalf("%s runs %d long attempts on %d slots", n.address, g.runningLong, g.slots)
 	}
 	if n.r.retries.tokens < 0 || n.r.probes.work.tokens < 0 {
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -5,10 +5,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
@@ -108,9 +106,8 @@
 // send sends one attempt and tells the reducer what came of it.
 func (x *exchange) send(e reducer.SendAttempt) {
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := x.request(e.Target, e.Deadline, e.Retries).WithContext(httptrace.WithClientTrace(ctx, trace))
+	traced, connected := peer.TraceConnection(ctx)
+	out := x.request(e.Target, e.Deadline, e.Retries).WithContext(traced)
 	h := out.Header
 	h[peer.HeaderAttempt] = []string{string(e.Attempt)}
 	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
@@ -124,6 +121,9 @@
 	if e.Keyed {
 		h[peer.HeaderKeyed] = []string{"1"}
 	}
+	if e.Impatient {
+		h[peer.HeaderImpatient] = []string{"1"}
+	}
 	if e.Replay {
 		h[peer.HeaderReplay] = []string{"1"}
 		out.ContentLength = 0
@@ -248,9 +248,8 @@
 	// The home answers at the deadline by itself, and knows more than this entry.
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline.Add(homeAllowance))
 	defer cancel()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := x.request(e.Target, e.Deadline, 0).WithContext(httptrace.WithClientTrace(ctx, trace))
+	traced, connected := peer.TraceConnection(ctx)
+	out := x.request(e.Target, e.Deadline, 0).WithContext(traced)
 	h := out.Header
 	h[peer.HeaderHome] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
 	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(x.fingerprint, 16)}
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -78,10 +77,12 @@
 		return g.refusal(req, reducer.RefusalMalformed), nil
 	}
 	g.Loop.Do(arrived)
+	arrivedAt := g.Loop.Clock()
 	effect := g.await(req.Context(), mailbox, arrived.Deadline)
 	switch e := effect.(type) {
 	case reducer.StartWork:
-		return g.run(req, mailbox, arrived, e.Upstream)
+		waited := g.Loop.Clock().Sub(arrivedAt)
+		return g.run(req, mailbox, arrived, e.Upstream, waited)
 	case reducer.ReplayWork:
 		g.Loop.CloseWork(mailbox)
 		return g.replayed(req, e.Answer), nil
@@ -109,7 +110,7 @@
 		Key:    h.Get(peer.HeaderKey),
 		Length: reducer.Length(h.Get(peer.HeaderLength)), Keyed: h.Get(peer.HeaderKeyed) != "",
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
-		Replay: h.Get(peer.HeaderReplay) != "",
+		Replay: h.Get(peer.HeaderReplay) != "", Impatient: h.Get(peer.HeaderImpatient) != "",
 	}, true
 }
 
@@ -142,13 +143,14 @@
 // run sends a started attempt to the upstream.
 func (g *Guard) run(
 	req *http.Request, mailbox *loop.WorkMailbox, arrived reducer.WorkArrived, address string,
+	waited time.Duration,
 ) (*http.Response, error) {
 	r := &running{guard: g, mailbox: mailbox, arrived: arrived, address: address}
 	ctx, cancel := context.WithDeadline(req.Context(), arrived.Deadline)
 	r.cancel = cancel
 	out := g.outgoing(req, arrived, address)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.connected.Store(true) }}
-	out = out.WithContext(httptrace.WithClientTrace(ctx, trace))
+	ctx, r.connected = peer.TraceConnection(ctx)
+	out = out.WithContext(ctx)
 	resp, err := g.transport.Load().RoundTrip(out)
 	if err != nil {
 		return r.failed(ctx, req, err)
@@ -158,7 +160,7 @@
 		return r.failed(ctx, req, errCrossed)
 	}
 	resp.Header = peer.EndToEnd(resp.Header)
-	g.sign(resp.Header, arrived.Attempt, reducer.OutcomeRan)
+	g.sign(resp.Header, arrived.Attempt, reducer.OutcomeRan, waited)
 	resp.Header[peer.HeaderUpstream] = []string{address}
 	r.head(resp)
 	resp.Body = r
@@ -191,17 +193,17 @@
 }
 
 // sign adds what every answer of a guard carries.
-func (g *Guard) sign(h http.Header, attempt reducer.AttemptID, outcome reducer.Outcome) {
+func (g *Guard) sign(h http.Header, attempt reducer.AttemptID, outcome reducer.Outcome, waited time.Duration) {
 	var load reducer.LoadReport
 	g.Loop.Inspect(func(r *reducer.Reducer) { load = r.LoadReport() })
 	h[peer.HeaderAttempt] = []string{string(attempt)}
-	h[peer.HeaderLoad] = []string{load.String()}
+	h[peer.HeaderLoad] = []string{load.WithWait(waited).String()}
 	h[peer.HeaderOutcome] = []string{string(outcome)}
 }
 
 func (g *Guard) refusal(req *http.Request, reason reducer.RefusalReason) *http.Response {
 	resp := g.answer(req, http.StatusServiceUnavailable, nil)
-	g.sign(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), reducer.OutcomeNotRun)
+	g.sign(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), reducer.OutcomeNotRun, 0)
 	resp.Header[peer.HeaderReason] = []string{string(reason)}
 	return resp
 }
@@ -210,7 +212,7 @@
 // is lost.
 func (g *Guard) doubtful(req *http.Request, attempt reducer.AttemptID) *http.Response {
 	resp := g.answer(req, http.StatusBadGateway, nil)
-	g.sign(resp.Header, attempt, reducer.OutcomeUnknown)
+	g.sign(resp.Header, attempt, reducer.OutcomeUnknown, 0)
 	var crash uint64
 	g.Loop.Inspect(func(r *reducer.Reducer) { crash = r.Crash() })
 	if crash != 0 {
@@ -228,7 +230,7 @@
 		}
 		resp.Trailer[name] = values
 	}
-	g.sign(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), reducer.OutcomeRan)
+	g.sign(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), reducer.OutcomeRan, 0)
 	return resp
 }
 
@@ -246,7 +248,7 @@
 	arrived   reducer.WorkArrived
 	address   string
 	cancel    context.CancelFunc
-	connected atomic.Bool
+	connected *atomic.Bool
 
 	resp     *http.Response
 	body     io.ReadCloser
--- a/internal/mesh/peer/headers.go
+++ b/internal/mesh/peer/headers.go
@@ -15,6 +15,7 @@
 	HeaderFirstSent      = "Tanagerline-First-Sent"
 	HeaderHome           = "Tanagerline-Home"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderImpatient      = "Tanagerline-Impatient"
 	HeaderKey            = "Tanagerline-Key"
 	HeaderKeyed          = "Tanagerline-Keyed"
 	HeaderKind           = "Tanagerline-Kind"
--- a/internal/mesh/peer/headers_test.go
+++ b/internal/mesh/peer/headers_test.go
@@ -88,7 +88,7 @@
 }
 
 func FuzzLoadReport(f *testing.F) {
-	f.Add("1,2,3,4,5")
+	f.Add("1,2,3,4,5,6")
 	f.Add(",,,,")
 	f.Fuzz(func(t *testing.T, text string) {
 		load, err := reducer.ParseLoadReport(text)
