--- a/scenario_fleet_test.go
+++ b/scenario_fleet_test.go
@@ -84,6 +84,37 @@
 	ts.Fatalf("homes of %s: %s", args[0], why)
 }
 
+// membersCommand waits until every named node knows a number of a service's upstreams
+// that can take work.
+func membersCommand(ts *testscript.TestScript, neg bool, args []string) {
+	check(ts, !neg && len(args) >= 3, "members SERVICE COUNT NODE...")
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(scenarioWait)
+	for _, node := range args[2:] {
+		for {
+			status, err := statusOf(ts, node)
+			if err == nil && usableMembers(status, args[0]) == want {
+				break
+			}
+			if time.Now().After(deadline) {
+				ts.Fatalf("%s does not know %d upstreams of %s", node, want, args[0])
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func usableMembers(status reducer.Status, service string) int {
+	usable := 0
+	for _, m := range status.Members {
+		if m.Usable && m.Service == service {
+			usable++
+		}
+	}
+	return usable
+}
+
 func homesProblem(ts *testscript.TestScript, node, service string, homes []string) string {
 	status, err := statusOf(ts, node)
 	if err != nil {
@@ -96,13 +127,7 @@
 	if !level(table) {
 		return "the shares are not level yet"
 	}
-	usable := 0
-	for _, m := range status.Members {
-		if m.Usable && m.Service == service {
-			usable++
-		}
-	}
-	if usable != len(homes) {
+	if usable := usableMembers(status, service); usable != len(homes) {
 		return fmt.Sprintf("%d usable members", usable)
 	}
 	for _, home := range homes {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -61,6 +61,7 @@
 		"homes":       homesCommand,
 		"keyhome":     keyHomeCommand,
 		"ledger":      ledgerCommand,
+		"members":     membersCommand,
 		"node":        nodeCommand,
 		"planoffset":  planOffsetCommand,
 		"ports":       portsCommand,
