--- a/internal/decision/reducer/model_test.go
+++ b/internal/decision/reducer/model_test.go
@@ -196,3 +196,41 @@
 }
 
 func ptr(p PlanSpec) *PlanSpec { return &p }
+
+// TestEntriesStopChoosingALeavingUpstream lets an upstream leave in one of three ways
+// while the log and the exchanges work: five seconds later no entry chooses it.
+func TestEntriesStopChoosingALeavingUpstream(t *testing.T) {
+	const seconds = 5
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for _, address := range []string{"a", "b", "c", "d"} {
+			w.boot(address, "amman-1")
+		}
+		w.log = append(w.log, Record{ID: "p0", Plan: ptr(worldPlan("p0", 0))})
+		w.settleDown(20)
+		n := w.nodes["b"]
+		switch rapid.SampledFrom([]string{"drain", "stop", "sheet"}).Draw(t, "way") {
+		case "drain":
+			n.told = true
+			n.step(UpstreamAnnounced{Service: worldService, Address: "ub", Slots: worldSlots, Draining: true})
+		case "stop":
+			n.stop()
+		case "sheet":
+			w.log = append(w.log, Record{ID: "p1", Plan: ptr(worldPlan("p1", n.r.inForce.offset, "ub"))})
+		}
+		w.settleDown(seconds * 5)
+		before := w.sentTo["b"]
+		for range 30 {
+			for _, address := range []string{"a", "c", "d"} {
+				w.nodes[address].call(keyName{service: worldService}, false, "", w.now.Add(3*time.Second), false, nil)
+			}
+			w.settleDown(1)
+		}
+		if sent := w.sentTo["b"] - before; sent > 0 {
+			t.Fatalf("%d attempts were sent to the leaving upstream", sent)
+		}
+		if w.sentTo["a"]+w.sentTo["c"]+w.sentTo["d"] < 90 {
+			t.Fatalf("too few attempts to tell: %v", w.sentTo)
+		}
+	})
+}
--- a/internal/decision/reducer/worldnode_test.go
+++ b/internal/decision/reducer/worldnode_test.go
@@ -76,6 +76,7 @@
 		return
 	}
 	token := n.wait(e.Call)
+	n.w.sentTo[e.Target.Address()]++
 	if !e.Replay {
 		c.attempts = append(c.attempts, e.Attempt)
 	}
