--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -23,7 +23,7 @@
 	deathDialTimeout = 200 * time.Millisecond
 	idleTime         = 4 * time.Second
 	answerHeadBytes  = 64 << 10
-	tellAllowance    = 250 * time.Millisecond
+	tellAllowance    = time.Second
 	tellPoll         = 2 * time.Millisecond
 	// maxStoredAnswerBytes bounds one answer that is kept for resends.
 	maxStoredAnswerBytes = 64 << 10
