Remove handover state that nothing reads

Cause: the map of shares offered to this node was written and cleaned but never read, and an offer's give-up time was set before acceptance, where only an accepted offer uses it. Behaviour is unchanged: vet, linter, the packages' tests (the model included) and the scenarios of keys moving and graceful stops pass.

--- a/internal/decision/reducer/handover.go
+++ b/internal/decision/reducer/handover.go
@@ -220,8 +220,7 @@
 			Sequence: r.nextSequence(), Service: service, Kind: ChangeHandover, From: r.selfOwner(),
 			To: ownerOf(target.member), Partitions: slices.Clone(shares), Made: r.now,
 		},
-		final:  r.stopping,
-		giveUp: r.now.Add(strandAfter),
+		final: r.stopping,
 	}
 	r.moves[service] = h
 	r.offer(h)
@@ -306,12 +305,6 @@
 			delete(r.moves, service)
 		}
 	}
-	for id, change := range r.inbound {
-		table := r.log.tables[change.Service]
-		if table == nil || table.partitions[change.Partitions[0]].owner.ID() != change.From.ID() {
-			delete(r.inbound, id)
-		}
-	}
 }
 
 // handoverOffered takes the memory of shares that a peer hands over. The shares
@@ -325,7 +318,6 @@
 			r.learnKey(e.Change.Service, m)
 		}
 		if e.Final {
-			r.inbound[e.Change.From.ID().String()+"/"+e.Change.Service] = e.Change
 			r.appendChange(e.Change)
 		}
 	}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -41,7 +41,6 @@
 	tableWaits map[CallID]*call
 	keys       keyMemory
 	moves      map[string]*handover
-	inbound    map[string]TableChange
 	parting    *parting
 	jobs       map[string]time.Time
 	// offersSeen holds the latest offer of each process that hands shares over.
@@ -104,7 +103,6 @@
 	r.tableWaits = map[CallID]*call{}
 	r.keys.init()
 	r.moves = map[string]*handover{}
-	r.inbound = map[string]TableChange{}
 	r.jobs = map[string]time.Time{}
 	r.offersSeen = map[NodeID]uint64{}
 	r.members.init(NewMember(r.Self))
