--- a/experiments_fleet_test.go
+++ b/experiments_fleet_test.go
@@ -23,7 +23,7 @@
 	"github.com/tanagerline/tanagerline/internal/edge/upstream"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 	"github.com/tanagerline/tanagerline/internal/operator/console"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 // experimentUpstream is an upstream with slots, whose calls take a time that an
--- a/internal/decision/loop/loop.go
+++ b/internal/decision/loop/loop.go
@@ -11,7 +11,8 @@
 
 const (
 	mailboxSize = 16
-	tickPeriod  = 50 * time.Millisecond
+	// tickPeriod is how often time passes for a reducer where Period says nothing else.
+	tickPeriod = 50 * time.Millisecond
 )
 
 // Loop feeds one reducer; its exported fields are set before Run.
@@ -20,6 +21,8 @@
 	Reducer *reducer.Reducer
 	// Clock tells the current instant.
 	Clock func() time.Time
+	// Period is the time between two ticks; zero is a default.
+	Period time.Duration
 	// Background carries out an effect that belongs to no call or work; it must
 	// not block.
 	Background func(reducer.Effect)
@@ -66,7 +69,11 @@
 
 // Run lets time pass until the context ends.
 func (l *Loop) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
+	period := l.Period
+	if period <= 0 {
+		period = tickPeriod
+	}
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
@@ -177,3 +184,9 @@
 	defer l.mu.Unlock()
 	return l.Reducer.CallDeadline(m.id)
 }
+
+// WithDeadline returns a context that ends at an instant of the loop's clock, which a
+// step of the time of day doesn't move.
+func (l *Loop) WithDeadline(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, deadline.Sub(l.Clock()))
+}
--- /dev/null
+++ b/internal/decision/reducer/admission.go
@@ -0,0 +1,246 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// returnAllowance is kept free for an answer's way back to its caller.
+	returnAllowance = 10 * time.Millisecond
+	// maxLatePerSlot bounds the attempts per slot that wait though they will be late.
+	maxLatePerSlot = 1
+	// firstShare is the part of an objective that stands in for the service time of a
+	// route that was not measured yet.
+	firstShare = 4
+	// meanPace is what the pace of a disturbed upstream comes to over a whole attempt,
+	// in percent, when no fresh figure is known.
+	meanPace = 150
+)
+
+// admission holds the attempts that wait for a slot in view of their objectives. It
+// answers crests: attempts that can still be answered in time start first, nearest to
+// their last chance first, and those that can't yield to them and start when nobody
+// else waits.
+type admission struct {
+	inTime []*work
+	late   []*work
+	// times are the measured service times of each route at the usual pace.
+	times map[string]time.Duration
+	// mean is the service time over all routes.
+	mean     time.Duration
+	pace     int
+	paceAt   time.Time
+	failures float64
+	failedAt time.Time
+}
+
+func (a *admission) waiting() int { return len(a.inTime) + len(a.late) }
+
+// expected estimates how long an attempt takes at the present pace.
+func (a *admission) expected(w *work, now time.Time) time.Duration {
+	base := a.times[w.route]
+	if base == 0 {
+		base = a.mean
+	}
+	if base == 0 {
+		base = w.objectiveTime / firstShare
+	}
+	return base * time.Duration(a.currentPace(now)) / usualPace
+}
+
+// currentPace returns the upstream's pace in percent.
+func (a *admission) currentPace(now time.Time) int {
+	if a.pace > 0 && now.Sub(a.paceAt) < freshPace {
+		return a.pace
+	}
+	return meanPace
+}
+
+// latestStart is when an attempt must start to be answered in time.
+func (a *admission) latestStart(w *work, now time.Time) time.Time {
+	return w.objective.Add(-a.expected(w, now) - returnAllowance)
+}
+
+// push takes an attempt that can be answered in time.
+func (a *admission) push(w *work, now time.Time) {
+	start := a.latestStart(w, now)
+	at, _ := slices.BinarySearchFunc(a.inTime, start, func(o *work, t time.Time) int {
+		return a.latestStart(o, now).Compare(t)
+	})
+	a.inTime = slices.Insert(a.inTime, at, w)
+}
+
+func (a *admission) remove(w *work) {
+	same := func(o *work) bool { return o == w }
+	a.inTime = slices.DeleteFunc(a.inTime, same)
+	a.late = slices.DeleteFunc(a.late, same)
+}
+
+// sample takes the time of an answered attempt, brought to the usual pace.
+func (a *admission) sample(w *work, took time.Duration) {
+	if a.times == nil {
+		a.times = map[string]time.Duration{}
+	}
+	if w.startPace > 0 {
+		took = took * usualPace / time.Duration(w.startPace)
+	}
+	if a.times[w.route] == 0 {
+		if len(a.times) >= maxMeasuredRoutes {
+			clear(a.times)
+		}
+		a.times[w.route] = took
+	}
+	a.times[w.route] += time.Duration(serviceTimeWeight * float64(took-a.times[w.route]))
+	if a.mean == 0 {
+		a.mean = took
+	}
+	a.mean += time.Duration(serviceTimeWeight * float64(took-a.mean))
+}
+
+// maxMeasuredRoutes bounds the memory of service times.
+const maxMeasuredRoutes = 256
+
+// failureMemory is how long it takes until half of what an upstream failed is forgotten.
+const failureMemory = 3 * time.Second
+
+// note counts an attempt as failed or not.
+func (a *admission) note(failed bool, now time.Time) {
+	a.failures = a.failureShare(now)
+	a.failedAt = now
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	a.failures += failureWeight * (outcome - a.failures)
+}
+
+// failureShare returns the recent share of failed attempts.
+func (a *admission) failureShare(now time.Time) float64 {
+	age := now.Sub(a.failedAt)
+	if a.failures == 0 || age > 8*failureMemory {
+		return 0
+	}
+	return a.failures / (1 + float64(age)/float64(failureMemory))
+}
+
+// admit takes or refuses an attempt that has an objective.
+func (r *Reducer) admit(w *work, impatient bool) RefusalReason {
+	g := &r.guard
+	a := &g.admission
+	finish := r.now.Add(r.waitFor(w) + a.expected(w, r.now))
+	if !finish.Add(returnAllowance).After(w.objective) {
+		a.push(w, r.now)
+		return ""
+	}
+	if impatient {
+		return RefusalBusy
+	}
+	if finish.Add(returnAllowance).After(w.deadline) || len(a.late) >= maxLatePerSlot*g.slots {
+		return RefusalDeadline
+	}
+	a.late = append(a.late, w)
+	return ""
+}
+
+// waitFor estimates how long an attempt that can be answered in time waits for a slot.
+func (r *Reducer) waitFor(w *work) time.Duration {
+	g := &r.guard
+	a := &g.admission
+	free := g.slots - g.running
+	if free > len(a.inTime) {
+		return 0
+	}
+	start := a.latestStart(w, r.now)
+	ahead := time.Duration(0)
+	for _, o := range a.inTime {
+		if a.latestStart(o, r.now).After(start) {
+			break
+		}
+		ahead += a.expected(o, r.now)
+	}
+	for _, o := range g.works {
+		if o.running && !o.objective.IsZero() {
+			ahead += max(a.expected(o, r.now)-r.now.Sub(o.started), a.expected(o, r.now)/8)
+		}
+	}
+	return ahead / time.Duration(max(1, g.slots))
+}
+
+// nextAdmitted takes the attempt to start next, or nil. Attempts that have become
+// late make way, and those that can't be answered at all are refused.
+func (r *Reducer) nextAdmitted() *work {
+	a := &r.guard.admission
+	for len(a.inTime) > 0 {
+		w := a.inTime[0]
+		a.inTime = slices.Delete(a.inTime, 0, 1)
+		if !r.now.After(a.latestStart(w, r.now).Add(returnAllowance)) {
+			return w
+		}
+		a.late = append(a.late, w)
+	}
+	for len(a.late) > 0 {
+		w := a.late[0]
+		a.late = slices.Delete(a.late, 0, 1)
+		if r.now.Add(a.expected(w, r.now)).Before(w.deadline) {
+			return w
+		}
+		r.dropQueued(w, RefusalDeadline)
+	}
+	return nil
+}
+
+// expireAdmitted refuses the attempts that can't be answered any more.
+func (r *Reducer) expireAdmitted() {
+	a := &r.guard.admission
+	for _, w := range slices.Concat(a.inTime, a.late) {
+		if !r.now.Add(a.expected(w, r.now)).Before(w.deadline) {
+			r.dropQueued(w, RefusalDeadline)
+		}
+	}
+}
+
+// refuseAdmitted gives every waiting attempt back, so that it can run elsewhere.
+func (r *Reducer) refuseAdmitted(reason RefusalReason) {
+	a := &r.guard.admission
+	for _, w := range slices.Concat(a.inTime, a.late) {
+		r.dropQueued(w, reason)
+	}
+}
+
+// noteUpstream learns from the end of an attempt that had an objective.
+func (r *Reducer) noteUpstream(w *work, e WorkEnded) {
+	a := &r.guard.admission
+	if e.Pace > 0 {
+		a.pace = e.Pace
+		a.paceAt = r.now
+	}
+	if w.objective.IsZero() {
+		return
+	}
+	switch e.Outcome {
+	case OutcomeRan:
+		failed := e.Status >= 500
+		a.note(failed, r.now)
+		if !failed {
+			a.sample(w, r.now.Sub(w.started))
+		}
+	case OutcomeNotRun:
+		// The upstream turned the attempt away though a slot seemed free.
+		a.note(true, r.now)
+	default:
+		a.note(true, r.now)
+	}
+}
+
+// upstreamReplaced keeps work away from an address at which another run, or another
+// upstream, answers, until that announces itself.
+func (r *Reducer) upstreamReplaced(e UpstreamReplaced) {
+	g := &r.guard
+	if g.instance == "" || g.instance == e.Instance || g.dead {
+		return
+	}
+	g.dead = true
+	r.refuseAdmitted(RefusalNoUpstream)
+	r.announceSelf()
+}
--- a/internal/decision/reducer/announce.go
+++ b/internal/decision/reducer/announce.go
@@ -34,11 +34,13 @@
 	r.Self.Service = r.guard.service
 	r.Self.Upstream = r.guard.upstream
 	r.Self.Slots = r.guard.slots
+	r.Self.Instance = r.guard.instance
 	r.Self.Leaving = r.leaving() || r.guard.dead
 	r.members.self = NewMember(r.Self)
-	r.members.merge(r.members.self, r.index, r.now, r.Settings.Retention)
+	r.members.merge(r.members.self, r.index, r.now, r.memberLifetime())
 	r.announcing.due = r.now
 	r.members.exchangeDue = r.now
+	r.introduce()
 }
 
 // announce restates on the log what must outlast its retention.
@@ -46,6 +48,9 @@
 	if r.members.peers[r.Self.Address] == nil {
 		r.announceSelf()
 	}
+	if r.Settings.Retention <= 0 {
+		return
+	}
 	interval := r.Settings.Retention / retentionShare
 	if !r.now.Before(r.announcing.due) && r.announcing.member == "" {
 		if r.announcing.due.After(r.begun) {
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -7,9 +7,18 @@
 
 // call is a caller's request at its entry.
 type call struct {
-	id          CallID
-	service     string
-	kind        *indexedKind
+	id      CallID
+	service string
+	kind    *indexedKind
+	// route is the plan's route of a routed call, or nil.
+	route *indexedRoute
+	// objective is when an answer loses most of its worth, or zero.
+	objective time.Time
+	requestID string
+	// sends counts the attempts that may have reached an upstream.
+	sends int
+	// abroad tells that an upstream of another region was tried.
+	abroad      bool
 	key         string
 	keyGiven    bool
 	keyed       bool
@@ -54,12 +63,16 @@
 	c := &call{
 		id: e.Call, service: e.Service, key: e.Key, keyGiven: e.Key != "", firstSent: e.FirstSent,
 		arrived: r.now, deadline: e.Deadline, retriesLeft: r.Settings.MaxRetries,
-		fingerprint: e.Fingerprint, forwarded: e.Forwarded,
+		fingerprint: e.Fingerprint, forwarded: e.Forwarded, requestID: e.RequestID,
 	}
 	r.calls[e.Call] = c
 	if e.Retries >= 0 {
 		c.retriesLeft = min(c.retriesLeft, e.Retries)
 	}
+	if e.Routed {
+		r.routedCallArrived(c, e)
+		return
+	}
 	if problem := r.resolveKind(c, e.Kind); problem != "" {
 		r.reject(c, r.outcomeBeforeHome(c), problem)
 		return
@@ -121,7 +134,7 @@
 		return
 	}
 	r.trace.begin()
-	p := r.choose(c)
+	p := r.pick(c)
 	if p == nil {
 		r.trace.add(r.now, c, nil, TraceNoUpstream)
 		r.rejectNotRun(c, r.problemWithoutPeer(c))
@@ -133,6 +146,7 @@
 	}
 	c.attempt = a
 	c.tried = append(c.tried, p)
+	c.abroad = c.abroad || p.tier == tierOther
 	p.begin(a.length, r.now)
 	if c.memory != nil {
 		c.memory.attempt = a.id
@@ -149,13 +163,16 @@
 		Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target, Key: c.key,
 		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
 		Retries: c.retriesLeft, Replay: c.attempt.replay, Fingerprint: c.fingerprint,
-		Impatient: r.impatient(c),
+		Impatient: r.impatient(c), Service: c.service, Objective: c.objective,
 	}
 }
 
 // impatient reports whether a crowded upstream should refuse the call's attempt: it
 // is the first one, and another can be paid for.
 func (r *Reducer) impatient(c *call) bool {
+	if c.route != nil {
+		return !c.attempt.replay && !r.lastTry(c)
+	}
 	return len(c.tried) == 1 && !c.attempt.replay && c.kind.kind.Length == LengthShort &&
 		c.retriesLeft > 0 && r.retries.tokens >= 1
 }
@@ -268,7 +285,7 @@
 	c.answered = true
 	r.countCall(c, false)
 	r.trace.rejected(r.now, c, outcome, problem)
-	r.emit(RejectCall{Call: c.id, Outcome: outcome, Problem: problem, Key: c.key})
+	r.emit(RejectCall{Call: c.id, Outcome: outcome, Problem: problem, Key: c.key, ReturnAt: r.returnAt(c, outcome, problem)})
 }
 
 // countCall counts a call once for the service-level burn.
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -39,6 +39,7 @@
 	ProblemQuarantined     ProblemKind = "quarantined"
 	ProblemStopping        ProblemKind = "stopping"
 	ProblemUnknownKind     ProblemKind = "unknown-kind"
+	ProblemUnknownRoute    ProblemKind = "unknown-route"
 	ProblemUnknownService  ProblemKind = "unknown-service"
 )
 
@@ -60,6 +61,8 @@
 	RefusalQuarantined RefusalReason = "quarantined"
 	RefusalRestarted   RefusalReason = "restarted"
 	RefusalSettled     RefusalReason = "settled"
+	// RefusalShed is for attempts that the upstream itself turned away.
+	RefusalShed        RefusalReason = "shed"
 	RefusalUnreachable RefusalReason = "unreachable"
 )
 
@@ -88,6 +91,10 @@
 		// Impatient asks the guard to refuse rather than to let the attempt wait.
 		Impatient   bool
 		Fingerprint uint64
+		// Service is the service that the attempt is for.
+		Service string
+		// Objective is when an answer loses most of its worth, or zero.
+		Objective time.Time
 	}
 
 	// ForwardCall sends the call's request to the home of its key.
@@ -121,6 +128,8 @@
 		Key     string
 		// NotHome tells a forwarding entry that its home table is old.
 		NotHome bool
+		// ReturnAt is when the caller may best send the request again, or zero.
+		ReturnAt time.Time
 	}
 
 	// CancelCall ends the call's attempt in flight.
@@ -139,6 +148,8 @@
 	StartWork struct {
 		Work     WorkID
 		Upstream string
+		// Instance names the run of the upstream that may take the attempt, or is empty.
+		Instance string
 	}
 
 	// RefuseWork answers an attempt that will never run.
@@ -160,7 +171,7 @@
 	}
 
 	// ProbeUpstream sends one health probe to the upstream.
-	ProbeUpstream struct{ Upstream string }
+	ProbeUpstream struct{ Upstream, HealthPath string }
 )
 
 // The effects of the member role and on the platform's log.
@@ -213,6 +224,13 @@
 		Suspect Suspect
 	}
 
+	// TellLoad reports this node's load to peers.
+	TellLoad struct {
+		Addresses []string
+		Digest    Digest
+		Members   []Member
+	}
+
 	// Stopped tells that the node has nothing left to do.
 	Stopped struct{}
 )
@@ -237,6 +255,7 @@
 func (OfferAnswers) effect()  {}
 func (AnswersReply) effect()  {}
 func (TellSuspect) effect()   {}
+func (TellLoad) effect()      {}
 func (Stopped) effect()       {}
 
 // ForCall returns the call that the effect is for.
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -45,6 +45,15 @@
 		Retries     int
 		Fingerprint uint64
 		Forwarded   bool
+		// RequestID names the request in logs, or is empty.
+		RequestID string
+		// Routed tells that Host and Path choose a route of the plan, which then
+		// decides the service and the policy.
+		Routed bool
+		Host   string
+		Path   string
+		// BodyBytes is the length of the request's body, or negative when unknown.
+		BodyBytes int64
 	}
 
 	// AttemptAnswered is the head of an answer that carries the attempt's ID.
@@ -149,6 +158,8 @@
 		Replay bool
 		// Impatient asks for a refusal where the attempt would wait for long.
 		Impatient bool
+		// Objective is when an answer loses most of its worth, or zero.
+		Objective time.Time
 	}
 
 	// WorkEnded is the end of a started attempt.
@@ -157,6 +168,9 @@
 		Outcome Outcome
 		Status  int
 		Answer  *StoredAnswer
+		// Pace is how long work takes at the upstream now, in percent of the usual,
+		// or zero when the upstream does not say.
+		Pace int
 	}
 
 	// WorkLeft is an attempt whose requester no longer waits.
@@ -175,12 +189,18 @@
 		Address  string
 		Slots    int
 		Draining bool
+		// Instance names the upstream's run, or is empty.
+		Instance string
 	}
 
 	// UpstreamDied is an upstream that refused a connection right after it
 	// broke one.
 	UpstreamDied struct{}
 
+	// UpstreamReplaced tells that another run of an upstream, or another upstream,
+	// answered at the address.
+	UpstreamReplaced struct{ Instance string }
+
 	// ProbeEnded is the result of an active health probe.
 	ProbeEnded struct {
 		Healthy bool
@@ -253,6 +273,18 @@
 	// AnswersTaken is a home's confirmation of this node's offer.
 	AnswersTaken struct{ Address string }
 
+	// PlanPublished is a plan that operators published outside of the log.
+	PlanPublished struct{ Plan Plan }
+
+	// MembersListed is what a directory of members holds.
+	MembersListed struct{ Members []Member }
+
+	// LoadHeard is a peer's report of its load.
+	LoadHeard struct {
+		Digest  Digest
+		Members []Member
+	}
+
 	// SuspectHeard is a peer's word of a request that crashes upstreams.
 	SuspectHeard struct{ Suspect Suspect }
 
@@ -282,7 +314,11 @@
 func (SettleAsked) event()       {}
 func (UpstreamAnnounced) event() {}
 func (UpstreamDied) event()      {}
+func (UpstreamReplaced) event()  {}
 func (ProbeEnded) event()        {}
+func (PlanPublished) event()     {}
+func (MembersListed) event()     {}
+func (LoadHeard) event()         {}
 func (RecordRead) event()        {}
 func (LogOpened) event()         {}
 func (RecordAppended) event()    {}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -30,6 +30,9 @@
 	shortTime   time.Duration
 	longTime    time.Duration
 	answeredAt  time.Time
+	// instance names the upstream's run, or is empty.
+	instance  string
+	admission admission
 }
 
 func (g *guard) init() { g.works = map[WorkID]*work{} }
@@ -55,7 +58,7 @@
 	return max(1, slots-int(math.Ceil(reserve*float64(slots))))
 }
 
-func (g *guard) queued() int { return len(g.short.works) + len(g.long.works) }
+func (g *guard) queued() int { return len(g.short.works) + len(g.long.works) + g.admission.waiting() }
 
 func (g *guard) queueOf(l Length) *workQueue {
 	if l == LengthLong {
@@ -84,9 +87,15 @@
 
 func (r *Reducer) loadReport() LoadReport {
 	g := &r.guard
-	short := g.running - g.runningLong + len(g.short.works)
+	short := g.running - g.runningLong + len(g.short.works) + g.admission.waiting()
 	long := g.runningLong + len(g.long.works)
-	return NewLoadReport(short, long, g.slots, g.shortTime, r.inForce.offset)
+	report := NewLoadReport(short, long, g.slots, g.shortTime, r.inForce.offset)
+	if g.admission.mean > 0 {
+		report.serviceTime = g.admission.mean
+	}
+	report.pace = g.admission.currentPace(r.now)
+	report.failures = int(100 * g.admission.failureShare(r.now))
+	return report
 }
 
 // LoadReport returns the guard's load as it is told with every answer.
@@ -95,15 +104,18 @@
 // upstreamAnnounced takes the upstream's word about itself.
 func (r *Reducer) upstreamAnnounced(e UpstreamAnnounced) {
 	g := &r.guard
-	fresh := g.service != e.Service || g.upstream != e.Address || g.dead
+	fresh := g.service != e.Service || g.upstream != e.Address || g.instance != e.Instance || g.dead
 	if fresh {
 		g.announced = r.now
 		g.shortTime = 0
 		g.longTime = 0
+		g.admission.pace = 0
+		g.admission.failures = 0
 	}
 	changed := fresh || g.slots != e.Slots || g.draining != e.Draining
 	g.service = e.Service
 	g.upstream = e.Address
+	g.instance = e.Instance
 	g.slots = e.Slots
 	g.draining = e.Draining
 	g.dead = false
@@ -129,7 +141,10 @@
 	r.lastArrival = r.now
 	w := &work{
 		id: e.Work, attempt: e.Attempt, name: keyName{service: e.Service, key: e.Key}, keyed: e.Keyed, length: e.Length, weight: 1,
-		deadline: e.Deadline, fingerprint: e.Fingerprint,
+		deadline: e.Deadline, fingerprint: e.Fingerprint, objective: e.Objective, route: e.Kind,
+	}
+	if !e.Objective.IsZero() {
+		w.objectiveTime = max(0, e.Objective.Sub(r.now))
 	}
 	if s := r.index[e.Service]; s != nil && s.kinds[e.Kind] != nil {
 		w.weight = s.kinds[e.Kind].kind.Weight
@@ -148,7 +163,11 @@
 		return
 	}
 	reason := r.refusalFor(w, e.Service)
-	if reason == "" && e.Impatient && r.crowded(w) {
+	switch {
+	case reason != "":
+	case !w.objective.IsZero():
+		reason = r.admit(w, e.Impatient)
+	case e.Impatient && r.crowded(w):
 		reason = RefusalBusy
 	}
 	if reason != "" {
@@ -159,7 +178,9 @@
 		r.memory.open(w, r.attemptExpiry())
 	}
 	r.guard.works[w.id] = w
-	r.guard.queueOf(w.length).push(w)
+	if w.objective.IsZero() {
+		r.guard.queueOf(w.length).push(w)
+	}
 	r.startWork()
 }
 
@@ -177,9 +198,9 @@
 		return RefusalSettled
 	case w.keyed && len(r.memory.records) >= r.Settings.MaxKeys:
 		return RefusalMemoryFull
-	case !r.canFinish(w):
+	case w.objective.IsZero() && !r.canFinish(w):
 		return RefusalDeadline
-	case g.queued() >= g.slots*r.Settings.QueuePerSlot && !r.displace(w):
+	case w.objective.IsZero() && g.queued() >= g.slots*r.Settings.QueuePerSlot && !r.displace(w):
 		return RefusalFull
 	default:
 		return ""
@@ -232,6 +253,7 @@
 // dropQueued refuses an attempt that waits in the queue.
 func (r *Reducer) dropQueued(w *work, reason RefusalReason) {
 	r.guard.queueOf(w.length).remove(w)
+	r.guard.admission.remove(w)
 	delete(r.guard.works, w.id)
 	r.closeUnstarted(w)
 	r.refuseWork(w, reason)
@@ -255,6 +277,10 @@
 		return
 	}
 	for g.running < g.openSlots(r.now, r.Settings.Warmup) {
+		if w := r.nextAdmitted(); w != nil {
+			r.start(w)
+			continue
+		}
 		w := r.nextWork()
 		if w == nil {
 			return
@@ -291,13 +317,14 @@
 	g := &r.guard
 	w.running = true
 	w.started = r.now
+	w.startPace = g.admission.currentPace(r.now)
 	g.running++
 	if w.length == LengthLong {
 		g.runningLong++
 	}
 	r.memory.started(w)
 	r.counts.Started++
-	r.emit(StartWork{Work: w.id, Upstream: g.upstream})
+	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.instance})
 }
 
 // workEnded frees the slot of an attempt.
@@ -315,9 +342,10 @@
 	if w.length == LengthLong {
 		g.runningLong--
 	}
+	r.noteUpstream(w, e)
 	if e.Outcome == OutcomeRan {
 		g.answeredAt = r.now
-		if e.Status < 500 {
+		if e.Status < 500 && w.objective.IsZero() {
 			g.sample(w.length, r.now.Sub(w.started))
 		}
 	}
@@ -342,6 +370,7 @@
 
 // expireQueue refuses queued attempts that can't complete by their deadline.
 func (r *Reducer) expireQueue() {
+	r.expireAdmitted()
 	g := &r.guard
 	for _, q := range []*workQueue{&g.short, &g.long} {
 		for _, w := range slices.Clone(q.works) {
@@ -363,4 +392,5 @@
 			r.dropQueued(w, RefusalLeaving)
 		}
 	}
+	r.refuseAdmitted(RefusalLeaving)
 }
--- a/internal/decision/reducer/load.go
+++ b/internal/decision/reducer/load.go
@@ -15,11 +15,15 @@
 	serviceTime time.Duration
 	waited      time.Duration
 	planOffset  int64
+	// pace is how long work takes now, in percent of the usual; zero is unknown.
+	pace int
+	// failures is the recent share of attempts that failed, in percent.
+	failures int
 }
 
-const loadReportFields = 6
+const loadReportFields = 8
 
-var errLoadReport = errors.New("load report needs six comma-separated whole numbers that are not negative")
+var errLoadReport = errors.New("load report needs eight comma-separated whole numbers that are not negative")
 
 // NewLoadReport returns the load of a guard that holds a number of short and of long
 // attempts, running or queued, and whose short work takes serviceTime.
@@ -48,6 +52,7 @@
 		short: int(values[0]), long: int(values[1]), slots: int(values[2]),
 		serviceTime: time.Duration(values[3]) * time.Microsecond,
 		waited:      time.Duration(values[4]) * time.Microsecond, planOffset: values[5],
+		pace: int(values[6]), failures: int(values[7]),
 	}, nil
 }
 
@@ -77,5 +82,9 @@
 	b = strconv.AppendInt(b, l.waited.Microseconds(), 10)
 	b = append(b, ',')
 	b = strconv.AppendInt(b, l.planOffset, 10)
+	b = append(b, ',')
+	b = strconv.AppendInt(b, int64(l.pace), 10)
+	b = append(b, ',')
+	b = strconv.AppendInt(b, int64(l.failures), 10)
 	return string(b)
 }
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -225,8 +225,15 @@
 	return h.Sum64()
 }
 
+// directWord is how long a peer's own report goes before what others say of its address.
+const directWord = 2 * time.Second
+
 // heardMember takes an announcement from the log or from a peer.
 func (r *Reducer) heardMember(member Member) {
+	known := r.members.peers[member.ID().Address()]
+	if known != nil && known.member.ID() != member.ID() && r.now.Sub(known.heardAt) < directWord {
+		return
+	}
 	if member.ID().Address() == r.Self.Address && member.ID().Incarnation() != r.Self.Incarnation {
 		// An earlier process at this address; its shares are claimed elsewhere.
 		return
@@ -234,9 +241,21 @@
 	if member.ID() == r.selfID() && member.spec.Version > r.Self.Version {
 		return
 	}
-	r.members.merge(member, r.index, r.now, r.Settings.Retention)
+	r.members.merge(member, r.index, r.now, r.memberLifetime())
 }
 
+// memberLifetime is how long a member is remembered that is not announced again.
+func (r *Reducer) memberLifetime() time.Duration {
+	if r.Settings.Retention > 0 {
+		return r.Settings.Retention
+	}
+	return directoryLifetime
+}
+
+// directoryLifetime is how long a member is remembered where a directory names it
+// again every few seconds.
+const directoryLifetime = 10 * time.Minute
+
 func (r *Reducer) digest() Digest {
 	return Digest{
 		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset,
--- a/internal/decision/reducer/node.go
+++ b/internal/decision/reducer/node.go
@@ -47,6 +47,8 @@
 	Slots       int       `json:"slots,omitempty"`
 	Operators   string    `json:"operators,omitempty"`
 	Leaving     bool      `json:"leaving,omitempty"`
+	// Instance names the upstream's run, or is empty.
+	Instance string `json:"instance,omitempty"`
 }
 
 // NewMember returns the member that spec describes.
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -36,6 +36,10 @@
 		r.rejectNotRun(c, ProblemQuarantined)
 		return
 	}
+	if c.route != nil {
+		r.retryRouted(c, e.Reason, e.BodySpent)
+		return
+	}
 	r.retryNotRun(c, e.Reason, e.BodySpent)
 }
 
@@ -75,6 +79,8 @@
 	switch {
 	case a.replay:
 		r.reject(c, OutcomeUnknown, ProblemLost)
+	case c.route != nil:
+		r.routedLost(c, e)
 	case c.keyed && !e.Dispatched:
 		r.settle(c, a.started)
 	case c.keyed:
@@ -104,6 +110,10 @@
 	r.trace.settled(r.now, c, c.attempt.peer, e.Outcome)
 	switch e.Outcome {
 	case OutcomeNotRun:
+		if c.route != nil {
+			r.retryRouted(c, RefusalSettled, e.BodySpent)
+			return
+		}
 		if c.memory == nil {
 			r.settledFree(c)
 			return
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -30,6 +30,8 @@
 	member  Member
 	tier    tier
 	expires time.Time
+	// heardAt is when the peer last reported its load by itself.
+	heardAt time.Time
 	// excluded tells that the plan sends no new work there.
 	excluded bool
 	weight   int
--- /dev/null
+++ b/internal/decision/reducer/placement.go
@@ -0,0 +1,105 @@
+package reducer
+
+import "time"
+
+const (
+	// usualPace is the pace of an upstream that works as fast as usual, in percent.
+	usualPace = 100
+	// freshPace is how long a reported pace is believed: neighbours' disturbance
+	// changes a few times a second.
+	freshPace = 250 * time.Millisecond
+	// failurePenalty is the time that a failed attempt costs a choice: about what the
+	// caller loses when it has to ask again.
+	failurePenalty = 400 * time.Millisecond
+	// firstServiceTime stands in for service times that nobody measured yet.
+	firstServiceTime = 50 * time.Millisecond
+	// remoteRoom is the share of an upstream's slots that may be taken when another
+	// region sends it work: its own region fills the rest within a report's age.
+	remoteRoom = 0.7
+)
+
+// place picks the upstream for the next attempt of a routed call, or nil. It answers
+// load that shifts within milliseconds: the upstream of the own region that should
+// answer first takes the call, by reports that are some tens of milliseconds old and
+// this entry's own attempts since. Another region is asked only when the own region
+// has nobody left, and only for calls whose bodies are small.
+func (r *Reducer) place(c *call) *peer {
+	s := r.members.services[c.service]
+	if s == nil {
+		return nil
+	}
+	var best *peer
+	var bestScore time.Duration
+	for t := tierSelf; t < tierOther; t++ {
+		for _, p := range s.tiers[t] {
+			if c.hasTried(p) || !r.placeable(p) {
+				continue
+			}
+			score := r.completion(p) + r.jitter(tieTime)
+			r.trace.consider(p, score, p.load(r.now))
+			if best == nil || score < bestScore {
+				best = p
+				bestScore = score
+			}
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return r.placeAbroad(c, s)
+}
+
+// tieTime is the difference between completion times that a choice leaves to chance.
+const tieTime = 2 * time.Millisecond
+
+// placeAbroad picks an upstream of another region, or nil. Once the own region has
+// refused a call, only an upstream that seems to have room is worth the way.
+func (r *Reducer) placeAbroad(c *call, s *servicePeers) *peer {
+	if c.abroad || (c.kind.kind.Length == LengthLong && len(c.tried) > 0) {
+		return nil
+	}
+	var best *peer
+	var bestScore time.Duration
+	for _, p := range s.tiers[tierOther] {
+		if c.hasTried(p) || !r.placeable(p) {
+			continue
+		}
+		if len(c.tried) > 0 && p.load(r.now) > remoteRoom*p.slots() {
+			continue
+		}
+		score := r.completion(p) + r.jitter(delayOther)
+		if best == nil || score < bestScore {
+			best = p
+			bestScore = score
+		}
+	}
+	return best
+}
+
+// placeable reports whether a routed call may be sent to a peer's upstream.
+func (r *Reducer) placeable(p *peer) bool {
+	if p.member.Leaving() || p.excluded || r.now.Before(p.avoidUntil) || p.member.Upstream() == "" {
+		return false
+	}
+	return p.tier == tierSelf || r.heardLately(p)
+}
+
+// completion estimates how long an attempt that is sent now takes.
+func (r *Reducer) completion(p *peer) time.Duration {
+	service := p.report.serviceTime
+	if service == 0 {
+		service = firstServiceTime
+	}
+	pace := usualPace
+	if p.report.pace > 0 && r.now.Sub(p.reportedAt) < freshPace {
+		pace = p.report.pace
+	}
+	service = service * time.Duration(pace) / usualPace
+	ahead := p.load(r.now) + 1 - p.slots()
+	wait := time.Duration(0)
+	if ahead > 0 {
+		wait = time.Duration(float64(service) * ahead / p.slots())
+	}
+	failed := failurePenalty * time.Duration(p.report.failures) / 100
+	return tierDelays[p.tier] + wait + service + failed
+}
--- a/internal/decision/reducer/plan.go
+++ b/internal/decision/reducer/plan.go
@@ -36,6 +36,10 @@
 	Regions []RegionWeight `json:"regions,omitempty"`
 	Leaving []string       `json:"leaving,omitempty"`
 	Gone    []string       `json:"gone,omitempty"`
+	// HealthPath is where the service's upstreams tell of their health, or empty.
+	HealthPath string `json:"health_path,omitempty"`
+	// MaxConnections bounds the connections to one upstream; zero sets no bound.
+	MaxConnections int `json:"max_connections,omitempty"`
 }
 
 // PlanSpec is the content of a plan as operators publish it.
@@ -44,6 +48,13 @@
 	Base     int64         `json:"base"`
 	Operator string        `json:"operator"`
 	Services []ServicePlan `json:"services"`
+	Routes   []Route       `json:"routes,omitempty"`
+	Limits   CallerLimits  `json:"limits,omitzero"`
+}
+
+// CallerLimits bound what a caller may send; a zero value sets no bound.
+type CallerLimits struct {
+	BodyBytes int64 `json:"body_bytes,omitempty"`
 }
 
 // Plan is an accepted configuration at its offset in the log.
--- a/internal/decision/reducer/quarantine.go
+++ b/internal/decision/reducer/quarantine.go
@@ -99,6 +99,7 @@
 			r.dropQueued(w, RefusalNoUpstream)
 		}
 	}
+	r.refuseAdmitted(RefusalNoUpstream)
 	r.announceSelf()
 }
 
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -16,7 +16,14 @@
 	deadline    time.Time
 	fingerprint uint64
 	running     bool
-	started     time.Time
+	// objective is when an answer loses most of its worth, or zero.
+	objective time.Time
+	// objectiveTime is what was left until the objective when the attempt arrived.
+	objectiveTime time.Duration
+	route         string
+	// startPace is the upstream's pace when the attempt started, in percent.
+	startPace int
+	started   time.Time
 	// joins is the attempt whose answer this resend waits for.
 	joins AttemptID
 }
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -32,6 +32,9 @@
 	lastArrival time.Time
 	quietBy     time.Time
 	stopped     bool
+	routes      routeTable
+	budgets     retryBudgets
+	reporting   reporting
 
 	log     logState
 	inForce Plan
@@ -86,7 +89,7 @@
 	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
-	case WorkArrived, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamDied, ProbeEnded:
+	case WorkArrived, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamDied, UpstreamReplaced, ProbeEnded:
 		r.stepGuard(e)
 	default:
 		r.stepMember(e)
@@ -113,6 +116,7 @@
 	r.probes.init(r.Settings, now)
 	r.suspects.init()
 	r.burn.init()
+	r.budgets.init()
 	r.trace.init()
 	r.announcing.due = now
 	r.members.exchangeDue = now
@@ -163,6 +167,8 @@
 		r.upstreamAnnounced(e)
 	case UpstreamDied:
 		r.upstreamDied()
+	case UpstreamReplaced:
+		r.upstreamReplaced(e)
 	case ProbeEnded:
 		r.probeEnded(e)
 	}
@@ -178,6 +184,12 @@
 		r.announcing.confirm(e.ID)
 	case AppendFailed:
 		r.announcing.confirm(e.ID)
+	case PlanPublished:
+		r.adopt(e.Plan)
+	case MembersListed:
+		r.membersListed(e)
+	case LoadHeard:
+		r.loadHeard(e)
 	case PeerHeard:
 		r.peerHeard(e)
 	case PeerAsked:
@@ -213,6 +225,7 @@
 	r.exchange()
 	r.keepHomes()
 	r.startWork()
+	r.report()
 	if r.stopping {
 		r.checkStopped()
 	}
@@ -252,6 +265,7 @@
 		}
 		r.index[s.Name] = indexed
 	}
+	r.routes.replan(plan.spec.Routes)
 	r.members.replan(r.index)
 	r.refuseQueueWhenLeaving()
 }
--- /dev/null
+++ b/internal/decision/reducer/report.go
@@ -0,0 +1,157 @@
+package reducer
+
+import "time"
+
+const (
+	// introductionTime is how long after a change the node's announcement travels
+	// with every report: datagrams get lost.
+	introductionTime = time.Second
+	// introductionPeriod is how often the announcement travels when nothing changed.
+	introductionPeriod = time.Second
+	// quietReport is how often a report that says nothing new is sent, as a sign of life.
+	quietReport = 400 * time.Millisecond
+	// silentNear and silentFar are how long a peer may be silent before choices pass
+	// it over: three signs of life, and one lost datagram from another region.
+	silentNear = 3 * quietReport
+	silentFar  = 3500 * time.Millisecond
+)
+
+// reporting is when this node tells its load to its peers.
+type reporting struct {
+	nearDue        time.Time
+	quietDue       time.Time
+	farDue         time.Time
+	introduceDue   time.Time
+	introduceUntil time.Time
+	told           LoadReport
+}
+
+// introduce tells every peer at once what this node announces.
+func (r *Reducer) introduce() {
+	r.reporting.introduceUntil = r.now.Add(introductionTime)
+	r.reporting.nearDue = r.now
+	r.reporting.quietDue = r.now
+	r.reporting.farDue = r.now
+}
+
+// report tells the load to the own region when it has changed, and to other regions
+// more seldom.
+func (r *Reducer) report() {
+	if r.Settings.ReportNear <= 0 {
+		return
+	}
+	t := &r.reporting
+	load := r.loadReport()
+	changed := load != t.told
+	if !r.now.Before(t.quietDue) || (changed && !r.now.Before(t.nearDue)) {
+		t.told = load
+		t.nearDue = r.now.Add(r.Settings.ReportNear)
+		t.quietDue = r.now.Add(quietReport)
+		members := r.introduction()
+		r.tellLoad(members, func(p *peer) bool { return p.tier != tierOther })
+	}
+	if !r.now.Before(t.farDue) {
+		t.farDue = r.now.Add(r.Settings.ReportFar)
+		if r.now.Before(t.introduceUntil) {
+			t.farDue = r.now.Add(introductionTime / 4)
+		}
+		r.tellLoad([]Member{r.members.self}, func(p *peer) bool { return p.tier == tierOther })
+	}
+}
+
+// introduction returns this node's announcement when it is due with a report.
+func (r *Reducer) introduction() []Member {
+	t := &r.reporting
+	if r.now.Before(t.introduceUntil) || !r.now.Before(t.introduceDue) {
+		t.introduceDue = r.now.Add(introductionPeriod)
+		return []Member{r.members.self}
+	}
+	return nil
+}
+
+func (r *Reducer) tellLoad(members []Member, to func(*peer) bool) {
+	var addresses []string
+	for _, p := range r.members.order {
+		if p.tier != tierSelf && to(p) {
+			addresses = append(addresses, p.member.spec.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: members})
+}
+
+// loadDigest is the part of a digest that a report carries.
+func (r *Reducer) loadDigest() Digest {
+	return Digest{
+		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset, Load: r.loadReport(),
+	}
+}
+
+// loadHeard takes a peer's report.
+func (r *Reducer) loadHeard(e LoadHeard) {
+	known := r.members.peers[e.Digest.Address]
+	for _, m := range e.Members {
+		r.introduced(m)
+	}
+	p := r.members.peers[e.Digest.Address]
+	if p == nil || p.tier == tierSelf || p.member.ID().Incarnation() != e.Digest.Incarnation {
+		return
+	}
+	if known != p && len(e.Members) > 0 {
+		// The peer is new, and may know as little of this node.
+		r.emit(TellLoad{Addresses: []string{e.Digest.Address}, Digest: r.loadDigest(), Members: []Member{r.members.self}})
+	}
+	if r.now.After(p.heardAt) {
+		p.heardAt = r.now
+	}
+	p.reachable()
+	if !e.Digest.Load.IsZero() {
+		p.reported(e.Digest.Load, r.now, 0)
+	}
+	r.askForPlan(p, e.Digest.PlanOffset)
+}
+
+// crossingReport is how late a report of an earlier process at an address may arrive.
+const crossingReport = 300 * time.Millisecond
+
+// introduced takes a process's own announcement. Its word on its address goes before
+// the order of start times, which clocks that were set may turn round.
+func (r *Reducer) introduced(m Member) {
+	known := r.members.peers[m.ID().Address()]
+	if known == nil || known.tier == tierSelf || known.member.ID() == m.ID() || m.supersedes(known.member) {
+		if known != nil && known.tier != tierSelf {
+			known.heardAt = time.Time{}
+		}
+		r.heardMember(m)
+		return
+	}
+	if r.now.Sub(known.heardAt) > crossingReport {
+		r.members.remove(known)
+		r.members.merge(m, r.index, r.now, r.memberLifetime())
+	}
+}
+
+// heardLately reports whether a peer has told of itself lately.
+func (r *Reducer) heardLately(p *peer) bool {
+	if r.Settings.ReportNear <= 0 {
+		return true
+	}
+	limit := silentNear
+	if p.tier == tierOther {
+		limit = silentFar
+	}
+	return r.now.Sub(p.heardAt) < limit
+}
+
+// membersListed takes what a directory holds. Its entries only name peers: what they
+// do now is theirs to tell.
+func (r *Reducer) membersListed(e MembersListed) {
+	for _, m := range e.Members {
+		if r.members.peers[m.ID().Address()] == nil {
+			r.heardMember(m)
+			r.introduce()
+		}
+	}
+}
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -33,7 +33,8 @@
 	MaxAnswerBytes int
 	// ExchangePeriod is the mean time between two exchanges that a node begins.
 	ExchangePeriod time.Duration
-	// Retention is how long the platform's log keeps records.
+	// Retention is how long the platform's log keeps records; zero tells that members
+	// find each other in a directory, which keeps them.
 	Retention time.Duration
 	// FreshAnswer is how long an answer spares its upstream a probe.
 	FreshAnswer time.Duration
@@ -50,6 +51,19 @@
 	CrossRegionBudget int64
 	// MaxEjectedShare is the largest share of a service that is ejected.
 	MaxEjectedShare float64
+	// ReportNear is the shortest time between two load reports to the own region;
+	// zero sends none.
+	ReportNear time.Duration
+	// ReportFar is the time between two load reports to other regions.
+	ReportFar time.Duration
+	// SharedRetries is the fixed number of retries that all entries together may send
+	// to a service in a window.
+	SharedRetries int
+	// SharedRetryWindow is the window of SharedRetries.
+	SharedRetryWindow time.Duration
+	// StopLinger is how long a stopping node goes on serving its callers before it
+	// exits, so that those who send it work learn of the stop.
+	StopLinger time.Duration
 	// Quarantine is how long a request that crashes upstreams is refused.
 	Quarantine time.Duration
 	// Objective is the share of calls that should be answered in time.
@@ -82,6 +96,10 @@
 		ProbeBytesBudget:  1024,
 		CrossRegionBudget: 50 << 20,
 		MaxEjectedShare:   0.34,
+		ReportFar:         time.Second,
+		SharedRetries:     64,
+		SharedRetryWindow: 10 * time.Second,
+		StopLinger:        time.Second,
 		Quarantine:        10 * time.Minute,
 		Objective:         0.999,
 		StopAllowance:     10 * time.Minute,
--- a/internal/decision/reducer/stop.go
+++ b/internal/decision/reducer/stop.go
@@ -9,7 +9,7 @@
 	}
 	r.stopping = true
 	r.stopBy = r.now.Add(r.Settings.StopAllowance)
-	r.lingering = r.now.Add(stopLinger)
+	r.lingering = r.now.Add(r.Settings.StopLinger)
 	r.announceSelf()
 	r.refuseQueueWhenLeaving()
 	for _, p := range r.members.order {
@@ -20,10 +20,6 @@
 	r.keepHomes()
 }
 
-// stopLinger is how long a stopping node refuses new work before it may exit,
-// so that the entries learn of it.
-const stopLinger = time.Second
-
 const (
 	// quietTime is how long nothing must have arrived when a node's listeners
 	// close: connections that are just being made are lost with them.
--- a/internal/edge/caller/body.go
+++ b/internal/edge/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -19,11 +20,30 @@
 	read     atomic.Bool
 }
 
-// newRequestBody reads a small body whole; a large one is streamed once.
-func newRequestBody(req *http.Request) (*requestBody, error) {
+// errBodyTooLong is a body that is longer than callers may send.
+var errBodyTooLong = errors.New("longer than the plan allows; send less")
+
+// bodyLimits bound a request's body.
+type bodyLimits struct {
+	// keep is the longest body that is read whole; a longer one is streamed once.
+	keep int64
+	// ahead tells that a body of unknown length is read whole, too.
+	ahead bool
+	// most is the longest body that is taken; zero sets no bound.
+	most int64
+}
+
+// newRequestBody reads a body whole where that is within the limits.
+func newRequestBody(req *http.Request, limits bodyLimits) (*requestBody, error) {
 	b := &requestBody{stream: req.Body, length: req.ContentLength}
-	if req.ContentLength < 0 || req.ContentLength > maxBufferedBytes {
+	if limits.most > 0 && req.ContentLength > limits.most {
+		return b, errBodyTooLong
+	}
+	switch {
+	case req.ContentLength > limits.keep, req.ContentLength < 0 && !limits.ahead:
 		return b, nil
+	case req.ContentLength < 0:
+		return b, b.readAhead(limits)
 	}
 	b.whole = true
 	if req.ContentLength == 0 {
@@ -34,6 +54,25 @@
 	return b, err
 }
 
+// readAhead reads a body of unknown length as far as it may be kept.
+func (b *requestBody) readAhead(limits bodyLimits) error {
+	ahead, err := io.ReadAll(io.LimitReader(b.stream, limits.keep+1))
+	if err != nil {
+		return err
+	}
+	if limits.most > 0 && int64(len(ahead)) > limits.most {
+		return errBodyTooLong
+	}
+	if int64(len(ahead)) > limits.keep {
+		b.stream = io.MultiReader(bytes.NewReader(ahead), b.stream)
+		return nil
+	}
+	b.whole = true
+	b.buffered = ahead
+	b.length = int64(len(ahead))
+	return nil
+}
+
 // next returns the body for one more attempt.
 func (b *requestBody) next() io.ReadCloser {
 	switch {
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"hash/fnv"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -44,14 +44,33 @@
 	Guard http.RoundTripper
 	// Self is this process.
 	Self reducer.NodeID
+	// Protocol is how callers speak; nil is the node's own protocol.
+	Protocol Protocol
+	// BodyBytes bounds the request bodies that are kept for another attempt; zero is a
+	// default.
+	BodyBytes int64
 	// BodyTime bounds the reading of a body that is buffered.
 	BodyTime time.Duration
 	// Stopping reports whether kept-alive connections are to be closed.
 	Stopping func() bool
 }
 
+// Prepare readies the entry; it must be called once before any other method.
+func (e *Entry) Prepare() {
+	if e.Protocol == nil {
+		e.Protocol = ownProtocol{clock: e.Loop.Clock}
+	}
+	if e.BodyBytes == 0 {
+		e.BodyBytes = maxBufferedBytes
+	}
+}
+
 // Handler returns the handler of the callers' listener.
 func (e *Entry) Handler() http.Handler {
+	if e.Protocol.Whole() {
+		// Every path belongs to the services.
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { e.serve(w, req, false) })
+	}
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.HandleFunc("/-/keys", e.issueKeys).Methods(http.MethodPost)
 	router.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -70,19 +89,26 @@
 	if e.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	arrived, err := e.readCall(req, forwarded)
+	arrived, err := e.Protocol.Read(req)
 	if err != nil {
-		writeProblem(w, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest}, err.Error())
+		e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest}, err.Error())
 		return
 	}
+	arrived.Forwarded = forwarded
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.BodyTime))
-	body, err := newRequestBody(req)
+	body, err := newRequestBody(req, bodyLimits{
+		keep: e.BodyBytes, ahead: e.Protocol.Whole(), most: e.longestBody(),
+	})
 	if err != nil {
 		// The rest of the body is not waited for: the deadline stays, and the
 		// connection is closed.
 		w.Header().Set("Connection", "close")
-		writeProblem(w, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest}, "body: "+err.Error())
+		problem := ProblemBadRequest
+		if errors.Is(err, errBodyTooLong) {
+			problem = ProblemBodyTooLong
+		}
+		e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: problem}, "body: "+err.Error())
 		return
 	}
 	_ = controller.SetReadDeadline(time.Time{})
@@ -98,54 +124,11 @@
 	x.run(arrived)
 }
 
-// HeaderError is a header that can't be read.
-type HeaderError struct {
-	Name   string
-	Remedy string
-}
-
-// Error names the header at fault and the remedy.
-func (e HeaderError) Error() string { return "header " + e.Name + ": " + e.Remedy }
-
-// readCall reads the call's policy from its path and headers.
-func (e *Entry) readCall(req *http.Request, forwarded bool) (reducer.CallArrived, error) {
-	arrived := reducer.CallArrived{
-		Service: serviceOf(req), Kind: req.Header.Get(peer.HeaderKind),
-		Key: req.Header.Get(peer.HeaderIdempotencyKey), Retries: -1, Forwarded: forwarded,
-	}
-	if text := req.Header.Get(peer.HeaderTimeout); text != "" {
-		remaining, err := time.ParseDuration(text)
-		if err != nil || remaining <= 0 {
-			return arrived, HeaderError{Name: peer.HeaderTimeout, Remedy: "give what remains as a positive duration, such as 250ms"}
-		}
-		arrived.Deadline = e.Loop.Clock().Add(remaining)
-	}
-	if text := req.Header.Get(peer.HeaderRetries); text != "" {
-		retries, err := strconv.Atoi(text)
-		if err != nil || retries < 0 {
-			return arrived, HeaderError{Name: peer.HeaderRetries, Remedy: "give a whole number that is not negative, or leave it out"}
-		}
-		arrived.Retries = retries
-	}
-	if text := req.Header.Get(peer.HeaderFirstSent); text != "" {
-		sent, err := time.Parse(time.RFC3339Nano, text)
-		if err != nil {
-			return arrived, HeaderError{Name: peer.HeaderFirstSent, Remedy: "give an RFC 3339 instant, or leave it out"}
-		}
-		arrived.FirstSent = sent
-	}
-	const maxKeyBytes = 256
-	if len(arrived.Key) > maxKeyBytes {
-		return arrived, HeaderError{Name: peer.HeaderIdempotencyKey, Remedy: "use at most 256 bytes, such as a UUIDv7"}
-	}
-	return arrived, nil
-}
-
-// serviceOf returns the first segment of the path.
-func serviceOf(req *http.Request) string {
-	path := strings.TrimPrefix(req.URL.Path, "/")
-	name, _, _ := strings.Cut(path, "/")
-	return name
+// longestBody is the longest body that the plan lets callers send, or zero.
+func (e *Entry) longestBody() int64 {
+	var limit int64
+	e.Loop.Inspect(func(r *reducer.Reducer) { limit = r.Plan().Spec().Limits.BodyBytes })
+	return limit
 }
 
 // fingerprint returns a number for requests that look the same: method, path,
@@ -168,7 +151,7 @@
 	if text := req.URL.Query().Get("count"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 || n > maxKeysPerRequest {
-			writeProblem(w, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest},
+			e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: ProblemBadRequest},
 				"query count: give a number from 1 to "+strconv.Itoa(maxKeysPerRequest))
 			return
 		}
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -48,7 +48,8 @@
 	defer stop()
 	// A caller that does not read its answer must not hold a slot for longer.
 	controller := http.NewResponseController(x.writer)
-	_ = controller.SetWriteDeadline(x.entry.Loop.CallDeadline(x.mailbox).Add(writeAllowance))
+	remaining := x.entry.Loop.CallDeadline(x.mailbox).Sub(x.entry.Loop.Clock())
+	_ = controller.SetWriteDeadline(time.Now().Add(remaining + writeAllowance))
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	for !x.step(x.next()) {
 		continue
@@ -96,7 +97,7 @@
 		x.relay(e)
 		return true
 	case reducer.RejectCall:
-		writeProblem(x.writer, e, "")
+		x.entry.Protocol.Reject(x.writer, x.req, e, "")
 		return true
 	default:
 		return true
@@ -105,7 +106,7 @@
 
 // send sends one attempt and tells the reducer what came of it.
 func (x *exchange) send(e reducer.SendAttempt) {
-	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
+	ctx, cancel := x.entry.Loop.WithDeadline(x.ctx, e.Deadline)
 	traced, connected := peer.TraceConnection(ctx)
 	out := x.request(e.Target, e.Deadline, e.Retries).WithContext(traced)
 	h := out.Header
@@ -113,7 +114,12 @@
 	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
 	h[peer.HeaderKind] = []string{e.Kind}
 	h[peer.HeaderLength] = []string{string(e.Length)}
-	h[peer.HeaderService] = []string{serviceOf(x.req)}
+	if e.Service != "" {
+		h[peer.HeaderService] = []string{e.Service}
+	}
+	if !e.Objective.IsZero() {
+		h[peer.HeaderObjective] = []string{e.Objective.Sub(x.entry.Loop.Clock()).String()}
+	}
 	h[peer.HeaderTo] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
 	if e.Key != "" {
 		h[peer.HeaderKey] = []string{e.Key}
@@ -162,6 +168,10 @@
 	}
 	switch reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)) {
 	case reducer.OutcomeRan:
+		if x.entry.Protocol.Whole() && !x.buffer(resp) {
+			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.spent()})
+			return
+		}
 		x.resp = resp
 		x.entry.Loop.Do(reducer.AttemptAnswered{
 			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
@@ -184,6 +194,19 @@
 	}
 }
 
+// buffer reads an answer to its end and reports whether it came whole: one that broke
+// off may be had again, as long as the caller has seen nothing of it.
+func (x *exchange) buffer(resp *http.Response) bool {
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		return false
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	resp.ContentLength = int64(len(body))
+	return true
+}
+
 // drain reads a short answer to its end, so that its connection can be used again.
 func drain(resp *http.Response) {
 	const maxDrainedBytes = 4 << 10
@@ -209,8 +232,8 @@
 	out := &http.Request{
 		Method: x.req.Method, Host: x.req.Host, URL: x.url(target),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: peer.EndToEnd(x.req.Header), ContentLength: x.req.ContentLength, Trailer: x.req.Trailer,
-		Body: peer.SingleUse(x.req.Method, x.req.ContentLength, x.body.next()),
+		Header: peer.EndToEnd(x.req.Header), ContentLength: x.body.length, Trailer: x.req.Trailer,
+		Body: peer.SingleUse(x.req.Method, x.body.length, x.body.next()),
 	}
 	h := out.Header
 	delete(h, "Expect")
@@ -220,9 +243,7 @@
 	}
 	h[peer.HeaderTimeout] = []string{deadline.Sub(x.entry.Loop.Clock()).String()}
 	h[peer.HeaderRetries] = []string{strconv.Itoa(retries)}
-	if host, _, err := net.SplitHostPort(x.req.RemoteAddr); err == nil {
-		h["X-Forwarded-For"] = append(h["X-Forwarded-For"][:len(h["X-Forwarded-For"]):len(h["X-Forwarded-For"])], host)
-	}
+	x.entry.Protocol.Pass(h, x.req)
 	return out
 }
 
@@ -246,7 +267,7 @@
 // forward passes the call to the home of its key and reports whether it is over.
 func (x *exchange) forward(e reducer.ForwardCall) bool {
 	// The home answers at the deadline by itself, and knows more than this entry.
-	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline.Add(homeAllowance))
+	ctx, cancel := x.entry.Loop.WithDeadline(x.ctx, e.Deadline.Add(homeAllowance))
 	defer cancel()
 	traced, connected := peer.TraceConnection(ctx)
 	out := x.request(e.Target, e.Deadline, 0).WithContext(traced)
@@ -298,14 +319,10 @@
 // relay passes the attempt's answer to the caller.
 func (x *exchange) relay(e reducer.RelayAnswer) {
 	header := peer.EndToEnd(x.resp.Header)
-	header[peer.HeaderAttempt] = []string{string(e.Attempt)}
-	header[peer.HeaderOutcome] = []string{string(reducer.OutcomeRan)}
-	if upstream := x.resp.Header[peer.HeaderUpstream]; len(upstream) > 0 {
+	if upstream := x.resp.Header[peer.HeaderUpstream]; len(upstream) > 0 && !x.entry.Protocol.Whole() {
 		header[peer.HeaderUpstream] = upstream
 	}
-	if e.Key != "" {
-		header[peer.HeaderKey] = []string{e.Key}
-	}
+	x.entry.Protocol.Answer(header, e)
 	x.copyAnswer(header, func(answerBytes int64, whole bool) {
 		x.entry.Loop.Do(reducer.AnswerEnded{
 			Call: e.Call, Attempt: e.Attempt, Whole: whole,
--- /dev/null
+++ b/internal/edge/caller/ownprotocol.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+)
+
+// ownProtocol is the node's own protocol for callers.
+type ownProtocol struct{ clock func() time.Time }
+
+// Read reads the call's policy from its path and headers.
+func (o ownProtocol) Read(req *http.Request) (reducer.CallArrived, error) {
+	arrived := reducer.CallArrived{
+		Service: serviceOf(req), Kind: req.Header.Get(peer.HeaderKind),
+		Key: req.Header.Get(peer.HeaderIdempotencyKey), Retries: -1,
+	}
+	if text := req.Header.Get(peer.HeaderTimeout); text != "" {
+		remaining, err := time.ParseDuration(text)
+		if err != nil || remaining <= 0 {
+			return arrived, HeaderError{Name: peer.HeaderTimeout, Remedy: "give what remains as a positive duration, such as 250ms"}
+		}
+		arrived.Deadline = o.clock().Add(remaining)
+	}
+	if text := req.Header.Get(peer.HeaderRetries); text != "" {
+		retries, err := strconv.Atoi(text)
+		if err != nil || retries < 0 {
+			return arrived, HeaderError{Name: peer.HeaderRetries, Remedy: "give a whole number that is not negative, or leave it out"}
+		}
+		arrived.Retries = retries
+	}
+	if text := req.Header.Get(peer.HeaderFirstSent); text != "" {
+		sent, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return arrived, HeaderError{Name: peer.HeaderFirstSent, Remedy: "give an RFC 3339 instant, or leave it out"}
+		}
+		arrived.FirstSent = sent
+	}
+	const maxKeyBytes = 256
+	if len(arrived.Key) > maxKeyBytes {
+		return arrived, HeaderError{Name: peer.HeaderIdempotencyKey, Remedy: "use at most 256 bytes, such as a UUIDv7"}
+	}
+	return arrived, nil
+}
+
+// Pass names the caller's address and the service.
+func (ownProtocol) Pass(h http.Header, req *http.Request) {
+	h[peer.HeaderService] = []string{serviceOf(req)}
+	const forwardedFor = "X-Forwarded-For"
+	if host, _, err := net.SplitHostPort(req.RemoteAddr); err == nil {
+		h[forwardedFor] = append(h[forwardedFor][:len(h[forwardedFor]):len(h[forwardedFor])], host)
+	}
+}
+
+// Answer names the attempt and the key.
+func (ownProtocol) Answer(h http.Header, relay reducer.RelayAnswer) {
+	h[peer.HeaderAttempt] = []string{string(relay.Attempt)}
+	h[peer.HeaderOutcome] = []string{string(reducer.OutcomeRan)}
+	if relay.Key != "" {
+		h[peer.HeaderKey] = []string{relay.Key}
+	}
+}
+
+// Reject writes a problem document.
+func (ownProtocol) Reject(w http.ResponseWriter, _ *http.Request, reject reducer.RejectCall, detail string) {
+	writeProblem(w, reject, detail)
+}
+
+// Whole passes answers on as they come.
+func (ownProtocol) Whole() bool { return false }
+
+// serviceOf returns the first segment of the path.
+func serviceOf(req *http.Request) string {
+	path := strings.TrimPrefix(req.URL.Path, "/")
+	name, _, _ := strings.Cut(path, "/")
+	return name
+}
+
+// HeaderError is a header that can't be read.
+type HeaderError struct {
+	Name   string
+	Remedy string
+}
+
+// Error names the header at fault and the remedy.
+func (e HeaderError) Error() string { return "header " + e.Name + ": " + e.Remedy }
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -25,8 +25,13 @@
 	retryAfterSeconds = 1
 )
 
-// ProblemBadRequest is a request that the entry can't read.
-const ProblemBadRequest reducer.ProblemKind = "bad-request"
+// The problems that an entry finds by itself.
+const (
+	// ProblemBadRequest is a request that the entry can't read.
+	ProblemBadRequest reducer.ProblemKind = "bad-request"
+	// ProblemBodyTooLong is a request whose body is longer than the plan allows.
+	ProblemBodyTooLong reducer.ProblemKind = "body-too-long"
+)
 
 type problemText struct {
 	status int
@@ -36,6 +41,8 @@
 
 var problemTexts = map[reducer.ProblemKind]problemText{
 	ProblemBadRequest:              {http.StatusBadRequest, "The request can't be read", "correct the named part and send the request again"},
+	ProblemBodyTooLong:             {http.StatusRequestEntityTooLarge, "The body is too long", "send a shorter body"},
+	reducer.ProblemUnknownRoute:    {http.StatusNotFound, "The plan has no route for the path", "begin the path with the prefix of a route of the host"},
 	reducer.ProblemAnswerNotKept:   {http.StatusConflict, "The first answer is no longer kept", "read the state that the request was to change before sending it with a new key"},
 	reducer.ProblemDeadline:        {http.StatusGatewayTimeout, "The deadline passed", "send the request again with the same key, or allow more time in Tanagerline-Timeout"},
 	reducer.ProblemHomeUnavailable: {http.StatusServiceUnavailable, "The home of the key can't be asked", "send the request again later with the same key"},
--- a/internal/edge/upstream/announce.go
+++ b/internal/edge/upstream/announce.go
@@ -100,8 +100,12 @@
 // Probe carries out ProbeUpstream: it asks the upstream's health endpoint, whose
 // answer is taken for no more than a sign of life.
 func (g *Guard) Probe(probe reducer.ProbeUpstream) {
-	client := http.Client{Transport: g.transport.Load(), Timeout: probeTimeout}
-	resp, err := client.Get("http://" + probe.Upstream + "/-/health")
+	path := probe.HealthPath
+	if path == "" {
+		path = "/-/health"
+	}
+	client := http.Client{Transport: g.pool.Load(), Timeout: probeTimeout}
+	resp, err := client.Get("http://" + probe.Upstream + path)
 	if err != nil {
 		g.Loop.Do(reducer.ProbeEnded{})
 		return
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -5,12 +5,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
@@ -19,14 +16,14 @@
 )
 
 const (
-	dialTimeout      = time.Second
 	deathDialTimeout = 200 * time.Millisecond
-	idleTime         = 4 * time.Second
 	answerHeadBytes  = 64 << 10
 	tellAllowance    = time.Second
 	tellPoll         = 2 * time.Millisecond
 	// maxStoredAnswerBytes bounds one answer that is kept for resends.
 	maxStoredAnswerBytes = 64 << 10
+	// maxWholeAnswerBytes bounds an answer that is kept until it is complete.
+	maxWholeAnswerBytes = 16 << 20
 )
 
 // Guard runs attempts on the upstream of this VM; its exported fields are set
@@ -37,33 +34,24 @@
 	// Telling counts the peers that are being told of a crash just now.
 	Telling func() int64
 
-	transport atomic.Pointer[http.Transport]
+	// Protocol is how the upstream is spoken to; nil is the node's own protocol.
+	Protocol Protocol
+
+	pool atomic.Pointer[pool]
 }
 
 // Prepare readies the guard; it must be called once before any other method.
-func (g *Guard) Prepare() { g.transport.Store(newTransport(0)) }
-
-// newTransport returns a pool of connections to the upstream, at most as many as
-// given where that is not zero. Idle connections are closed early, before most
-// servers close them: one that closes under a request leaves its outcome unknown.
-func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableCompression:     true,
-		MaxConnsPerHost:        connections,
-		MaxIdleConnsPerHost:    256,
-		IdleConnTimeout:        idleTime,
-		MaxResponseHeaderBytes: answerHeadBytes,
-		WriteBufferSize:        16 << 10,
-		ReadBufferSize:         16 << 10,
+func (g *Guard) Prepare() {
+	g.pool.Store(newPool(0))
+	if g.Protocol == nil {
+		g.Protocol = ownProtocol{}
 	}
 }
 
 // LimitConnections bounds the connections to the upstream; zero sets no bound.
 func (g *Guard) LimitConnections(connections int) {
-	if g.transport.Load().MaxConnsPerHost != connections {
-		g.transport.Swap(newTransport(connections)).CloseIdleConnections()
+	if g.pool.Load().size != connections {
+		g.pool.Swap(newPool(connections)).closeIdle()
 	}
 }
 
@@ -82,7 +70,7 @@
 	switch e := effect.(type) {
 	case reducer.StartWork:
 		waited := g.Loop.Clock().Sub(arrivedAt)
-		return g.run(req, mailbox, arrived, e.Upstream, waited)
+		return g.run(req, mailbox, arrived, e, waited)
 	case reducer.ReplayWork:
 		g.Loop.CloseWork(mailbox)
 		return g.replayed(req, e.Answer), nil
@@ -111,9 +99,20 @@
 		Length: reducer.Length(h.Get(peer.HeaderLength)), Keyed: h.Get(peer.HeaderKeyed) != "",
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
 		Replay: h.Get(peer.HeaderReplay) != "", Impatient: h.Get(peer.HeaderImpatient) != "",
+		Objective: g.objective(h),
 	}, true
 }
 
+// objective returns when an answer loses most of its worth, or zero.
+func (g *Guard) objective(h http.Header) time.Time {
+	remaining, err := time.ParseDuration(h.Get(peer.HeaderObjective))
+	if err != nil {
+		// The attempt comes without an objective.
+		return time.Time{}
+	}
+	return g.Loop.Clock().Add(remaining)
+}
+
 // await returns the decision on an attempt. When the requester leaves or the
 // deadline passes first, the attempt is taken back; a decision that was already
 // made still counts.
@@ -142,53 +141,70 @@
 
 // run sends a started attempt to the upstream.
 func (g *Guard) run(
-	req *http.Request, mailbox *loop.WorkMailbox, arrived reducer.WorkArrived, address string,
+	req *http.Request, mailbox *loop.WorkMailbox, arrived reducer.WorkArrived, start reducer.StartWork,
 	waited time.Duration,
 ) (*http.Response, error) {
-	r := &running{guard: g, mailbox: mailbox, arrived: arrived, address: address}
-	ctx, cancel := context.WithDeadline(req.Context(), arrived.Deadline)
+	r := &running{guard: g, mailbox: mailbox, arrived: arrived, address: start.Upstream}
+	ctx, cancel := g.Loop.WithDeadline(req.Context(), arrived.Deadline)
 	r.cancel = cancel
-	out := g.outgoing(req, arrived, address)
-	ctx, r.connected = peer.TraceConnection(ctx)
-	out = out.WithContext(ctx)
-	resp, err := g.transport.Load().RoundTrip(out)
+	out := g.outgoing(req, arrived, start).WithContext(ctx)
+	resp, err := r.send(out)
 	if err != nil {
 		return r.failed(ctx, req, err)
 	}
-	if echoed := resp.Header.Get(peer.HeaderAttempt); echoed != "" && echoed != string(arrived.Attempt) {
-		_ = resp.Body.Close()
-		return r.failed(ctx, req, errCrossed)
+	verdict := g.Protocol.Judge(resp)
+	r.pace = verdict.Pace
+	switch {
+	case verdict.Replacement != "":
+		r.discard(resp)
+		g.Loop.Do(reducer.UpstreamReplaced{Instance: verdict.Replacement})
+		r.end(reducer.OutcomeNotRun, nil)
+		return g.refusal(req, reducer.RefusalNoUpstream), nil
+	case verdict.Outcome == reducer.OutcomeNotRun:
+		r.discard(resp)
+		r.end(reducer.OutcomeNotRun, nil)
+		return g.refusal(req, reducer.RefusalShed), nil
+	case verdict.Outcome == reducer.OutcomeUnknown:
+		r.discard(resp)
+		r.end(reducer.OutcomeUnknown, nil)
+		return g.doubtful(req, arrived.Attempt), nil
+	}
+	if g.Protocol.Whole() {
+		if err := readWhole(resp); err != nil {
+			return r.failed(ctx, req, err)
+		}
 	}
 	resp.Header = peer.EndToEnd(resp.Header)
-	g.sign(resp.Header, arrived.Attempt, reducer.OutcomeRan, waited)
-	resp.Header[peer.HeaderUpstream] = []string{address}
+	resp.Header[peer.HeaderUpstream] = []string{start.Upstream}
 	r.head(resp)
+	if g.Protocol.Whole() {
+		r.end(reducer.OutcomeRan, r.wholeAnswer())
+	}
+	g.sign(resp.Header, arrived.Attempt, reducer.OutcomeRan, waited)
 	resp.Body = r
 	return resp, nil
 }
 
-var errCrossed = errors.New("the upstream's answer carries another attempt's ID")
-
 // outgoing is the attempt's request as the upstream gets it.
-func (g *Guard) outgoing(req *http.Request, arrived reducer.WorkArrived, address string) *http.Request {
+func (g *Guard) outgoing(req *http.Request, arrived reducer.WorkArrived, start reducer.StartWork) *http.Request {
 	out := &http.Request{
-		Method: req.Method, URL: cloneURL(req, address), Host: req.Host,
+		Method: req.Method, URL: cloneURL(req, start.Upstream), Host: req.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: peer.EndToEnd(req.Header), Body: peer.SingleUse(req.Method, req.ContentLength, req.Body),
+		Header: peer.EndToEnd(req.Header), Body: req.Body,
 		ContentLength: req.ContentLength, Trailer: req.Trailer,
 	}
-	out.Header[peer.HeaderAttempt] = []string{string(arrived.Attempt)}
-	out.Header[peer.HeaderTimeout] = []string{arrived.Deadline.Sub(g.Loop.Clock()).String()}
-	for _, name := range []string{peer.HeaderRetries, peer.HeaderKind} {
-		if values := req.Header[name]; len(values) > 0 {
-			out.Header[name] = values
-		}
+	if req.ContentLength == 0 {
+		out.Body = http.NoBody
 	}
-	if key := req.Header.Get(peer.HeaderKey); key != "" {
-		peer.SetKey(out.Header, key)
+	if out.Header.Get("User-Agent") == "" {
+		// An empty value keeps the library from adding its own.
+		out.Header["User-Agent"] = []string{""}
 	}
 	// Nodes use Expect between themselves; the attempt is admitted by now.
 	delete(out.Header, "Expect")
+	g.Protocol.Request(out.Header, req.Header, Attempt{
+		ID: arrived.Attempt, Instance: start.Instance, Remaining: arrived.Deadline.Sub(g.Loop.Clock()),
+	})
 	return out
 }
 
@@ -240,126 +256,3 @@
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: req,
 	}
 }
-
-// running is an attempt on the upstream and the body of its answer.
-type running struct {
-	guard     *Guard
-	mailbox   *loop.WorkMailbox
-	arrived   reducer.WorkArrived
-	address   string
-	cancel    context.CancelFunc
-	connected *atomic.Bool
-
-	resp     *http.Response
-	body     io.ReadCloser
-	stored   []byte
-	overflow bool
-	once     sync.Once
-}
-
-// failed ends an attempt without an answer.
-func (r *running) failed(ctx context.Context, req *http.Request, err error) (*http.Response, error) {
-	defer r.cancel()
-	if !r.connected.Load() {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.guard.Loop.Do(reducer.UpstreamDied{})
-		}
-		r.end(reducer.OutcomeNotRun, nil)
-		return r.guard.refusal(req, reducer.RefusalNoUpstream), nil
-	}
-	if ctx.Err() == nil && !errors.Is(err, errCrossed) {
-		r.checkDeath()
-	}
-	r.end(reducer.OutcomeUnknown, nil)
-	return r.guard.doubtful(req, r.arrived.Attempt), nil
-}
-
-// checkDeath finds out whether the upstream that broke a connection is gone.
-func (r *running) checkDeath() {
-	conn, err := net.DialTimeout("tcp", r.address, deathDialTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		r.guard.Loop.Do(reducer.UpstreamDied{})
-		r.guard.awaitTold()
-	}
-}
-
-// awaitTold waits until the peers know of a crash, before its caller can send the
-// request to them again.
-func (g *Guard) awaitTold() {
-	deadline := g.Loop.Clock().Add(tellAllowance)
-	for g.Telling() > 0 && g.Loop.Clock().Before(deadline) {
-		time.Sleep(tellPoll)
-	}
-}
-
-// head takes the head of the upstream's answer.
-func (r *running) head(resp *http.Response) {
-	r.resp = resp
-	r.body = resp.Body
-}
-
-// Read reads the answer's body and notes its end.
-func (r *running) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	r.store(p[:n])
-	switch {
-	case errors.Is(err, io.EOF):
-		r.end(reducer.OutcomeRan, r.answer())
-	case err != nil:
-		if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
-			r.checkDeath()
-		}
-		r.end(reducer.OutcomeRan, nil)
-	}
-	return n, err
-}
-
-// Close ends the attempt; an answer that was not read to its end is cut off.
-func (r *running) Close() error {
-	err := r.body.Close()
-	r.end(reducer.OutcomeRan, nil)
-	r.cancel()
-	return err
-}
-
-func (r *running) store(part []byte) {
-	if !r.arrived.Keyed || r.overflow {
-		return
-	}
-	if len(r.stored)+len(part) > maxStoredAnswerBytes {
-		r.overflow = true
-		r.stored = nil
-		return
-	}
-	r.stored = append(r.stored, part...)
-}
-
-// answer is the whole answer for resends, or nil when it is not kept.
-func (r *running) answer() *reducer.StoredAnswer {
-	if !r.arrived.Keyed || r.overflow {
-		return nil
-	}
-	header := peer.EndToEnd(r.resp.Header)
-	header[peer.HeaderUpstream] = []string{r.address}
-	return &reducer.StoredAnswer{
-		Status: r.resp.StatusCode, Header: header, Body: r.stored, Trailer: r.resp.Trailer.Clone(),
-	}
-}
-
-// end frees the attempt's slot once.
-func (r *running) end(outcome reducer.Outcome, answer *reducer.StoredAnswer) {
-	r.once.Do(func() {
-		status := 0
-		if r.resp != nil {
-			status = r.resp.StatusCode
-		}
-		r.guard.Loop.Do(reducer.WorkEnded{
-			Work: r.mailbox.ID(), Outcome: outcome, Status: status, Answer: answer,
-		})
-		r.guard.Loop.CloseWork(r.mailbox)
-	})
-}
--- /dev/null
+++ b/internal/edge/upstream/pool.go
@@ -0,0 +1,139 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTime is how long an idle connection is kept: less than most servers do,
+	// since one that closes under a request leaves its outcome unknown.
+	idleTime = 4 * time.Second
+	// freshIdleTime is how long a connection may have been idle for a request that
+	// must run at most once: a server may have forgotten one that idled for longer.
+	freshIdleTime = 500 * time.Millisecond
+	// silentTime is how long sent bytes may stay unacknowledged.
+	silentTime = 800 * time.Millisecond
+)
+
+// pool keeps connections to the upstream. Unlike http.Transport it owns what comes
+// after an answer: a connection with unread bytes, or with a body that was not sent
+// to its end, is never used again.
+type pool struct {
+	// limit holds a token for each connection in use, or is nil without a bound.
+	limit chan struct{}
+	size  int
+
+	mu   sync.Mutex
+	idle []*connection
+}
+
+// newPool returns a pool of at most so many connections in use; zero sets no bound.
+func newPool(connections int) *pool {
+	p := &pool{size: connections}
+	if connections > 0 {
+		p.limit = make(chan struct{}, connections)
+	}
+	return p
+}
+
+// get returns a connection to address that has not been idle for longer than
+// allowed, or a new one.
+func (p *pool) get(ctx context.Context, address string, allowed time.Duration) (*connection, error) {
+	if p.limit != nil {
+		select {
+		case p.limit <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if c := p.takeIdle(address, allowed); c != nil {
+		return c, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: limitSilence}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return newConnection(p, conn, address), nil
+}
+
+func (p *pool) release() {
+	if p.limit != nil {
+		<-p.limit
+	}
+}
+
+// takeIdle returns the connection that was used last, or nil.
+func (p *pool) takeIdle(address string, allowed time.Duration) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		if c.address == address && now.Before(c.idleUntil) && now.Sub(c.idleSince) > allowed {
+			// The others have been idle for longer.
+			return nil
+		}
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.address == address && now.Before(c.idleUntil) && c.silent() {
+			c.used = true
+			return c
+		}
+		_ = c.conn.Close()
+	}
+	return nil
+}
+
+// put keeps a connection for the next request.
+func (p *pool) put(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idleSince = time.Now()
+	c.idleUntil = c.idleSince.Add(min(idleTime, c.keepAlive))
+	kept := p.idle[:0]
+	for _, o := range p.idle {
+		if c.idleSince.Before(o.idleUntil) {
+			kept = append(kept, o)
+			continue
+		}
+		_ = o.conn.Close()
+	}
+	p.idle = append(kept, c)
+}
+
+// closeIdle closes the connections that are not in use.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.conn.Close()
+	}
+	p.idle = nil
+}
+
+// RoundTrip sends a request that any answer belongs to.
+func (p *pool) RoundTrip(req *http.Request) (*http.Response, error) {
+	exchange := exchange{pool: p, address: req.URL.Host, idle: idleTime}
+	return exchange.run(req)
+}
+
+// limitSilence lets a connection fail when sent bytes stay unacknowledged.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/edge/upstream/running.go
@@ -0,0 +1,204 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/loop"
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+)
+
+// errAnswerTooLong is an answer that does not fit into the node's memory.
+var errAnswerTooLong = errors.New("the upstream's answer is longer than a node keeps whole")
+
+// readWhole reads the answer's body to its end, so that an answer that breaks off is
+// never passed on as if it were complete.
+func readWhole(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswerBytes+1))
+	_ = resp.Body.Close()
+	if err != nil {
+		return err
+	}
+	if len(body) > maxWholeAnswerBytes {
+		return errAnswerTooLong
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	resp.ContentLength = int64(len(body))
+	resp.TransferEncoding = nil
+	return nil
+}
+
+// running is an attempt on the upstream and the body of its answer.
+type running struct {
+	guard     *Guard
+	mailbox   *loop.WorkMailbox
+	arrived   reducer.WorkArrived
+	address   string
+	cancel    context.CancelFunc
+	connected bool
+	pace      int
+
+	resp     *http.Response
+	body     io.ReadCloser
+	stored   []byte
+	overflow bool
+	once     sync.Once
+}
+
+// send sends the request. One that may run again is sent once more where a kept
+// connection turns out to be dead before any answer came.
+func (r *running) send(out *http.Request) (*http.Response, error) {
+	x := &exchange{pool: r.guard.pool.Load(), address: r.address, idle: idleTime, passOver: r.guard.Protocol.Whole()}
+	x.belongs = func(resp *http.Response) bool { return r.guard.Protocol.Belongs(resp, out) }
+	if r.arrived.Keyed {
+		x.idle = freshIdleTime
+	}
+	resp, err := x.run(out)
+	r.connected = x.connected
+	if err == nil || r.arrived.Keyed || x.connection == nil || !x.connection.used || x.answered {
+		return resp, err
+	}
+	if out.Context().Err() != nil || out.Body != http.NoBody {
+		return resp, err
+	}
+	again := &exchange{pool: x.pool, address: r.address, belongs: x.belongs, passOver: x.passOver}
+	return again.run(out)
+}
+
+// discard reads a short answer to its end, so that its connection can be used again.
+func (r *running) discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, answerHeadBytes)
+	_ = resp.Body.Close()
+	r.cancel()
+}
+
+// wholeAnswer is an answer that was read whole, for resends, or nil when it is not kept.
+func (r *running) wholeAnswer() *reducer.StoredAnswer {
+	if !r.arrived.Keyed {
+		return nil
+	}
+	body, err := io.ReadAll(r.body)
+	if err != nil {
+		return nil
+	}
+	r.body = io.NopCloser(bytes.NewReader(body))
+	r.store(body)
+	return r.answer()
+}
+
+// failed ends an attempt without an answer.
+func (r *running) failed(ctx context.Context, req *http.Request, err error) (*http.Response, error) {
+	defer r.cancel()
+	if !r.connected {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.guard.Loop.Do(reducer.UpstreamDied{})
+		}
+		r.end(reducer.OutcomeNotRun, nil)
+		return r.guard.refusal(req, reducer.RefusalNoUpstream), nil
+	}
+	if ctx.Err() == nil && !errors.Is(err, errForeignAnswer) {
+		r.checkDeath()
+	}
+	r.end(reducer.OutcomeUnknown, nil)
+	return r.guard.doubtful(req, r.arrived.Attempt), nil
+}
+
+// checkDeath finds out whether the upstream that broke a connection is gone.
+func (r *running) checkDeath() {
+	conn, err := net.DialTimeout("tcp", r.address, deathDialTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.guard.Loop.Do(reducer.UpstreamDied{})
+		if !r.guard.Protocol.Whole() {
+			r.guard.awaitTold()
+		}
+	}
+}
+
+// awaitTold waits until the peers know of a crash, before its caller can send the
+// request to them again.
+func (g *Guard) awaitTold() {
+	deadline := g.Loop.Clock().Add(tellAllowance)
+	for g.Telling() > 0 && g.Loop.Clock().Before(deadline) {
+		time.Sleep(tellPoll)
+	}
+}
+
+// head takes the head of the upstream's answer.
+func (r *running) head(resp *http.Response) {
+	r.resp = resp
+	r.body = resp.Body
+}
+
+// Read reads the answer's body and notes its end.
+func (r *running) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.store(p[:n])
+	switch {
+	case errors.Is(err, io.EOF):
+		r.end(reducer.OutcomeRan, r.answer())
+	case err != nil:
+		if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+			r.checkDeath()
+		}
+		r.end(reducer.OutcomeRan, nil)
+	}
+	return n, err
+}
+
+// Close ends the attempt; an answer that was not read to its end is cut off.
+func (r *running) Close() error {
+	err := r.body.Close()
+	r.end(reducer.OutcomeRan, nil)
+	r.cancel()
+	return err
+}
+
+func (r *running) store(part []byte) {
+	if !r.arrived.Keyed || r.overflow {
+		return
+	}
+	if len(r.stored)+len(part) > maxStoredAnswerBytes {
+		r.overflow = true
+		r.stored = nil
+		return
+	}
+	r.stored = append(r.stored, part...)
+}
+
+// answer is the whole answer for resends, or nil when it is not kept.
+func (r *running) answer() *reducer.StoredAnswer {
+	if !r.arrived.Keyed || r.overflow {
+		return nil
+	}
+	header := peer.EndToEnd(r.resp.Header)
+	header[peer.HeaderUpstream] = []string{r.address}
+	return &reducer.StoredAnswer{
+		Status: r.resp.StatusCode, Header: header, Body: r.stored, Trailer: r.resp.Trailer.Clone(),
+	}
+}
+
+// end frees the attempt's slot once.
+func (r *running) end(outcome reducer.Outcome, answer *reducer.StoredAnswer) {
+	r.once.Do(func() {
+		status := 0
+		if r.resp != nil {
+			status = r.resp.StatusCode
+		}
+		r.guard.Loop.Do(reducer.WorkEnded{
+			Work: r.mailbox.ID(), Outcome: outcome, Status: status, Answer: answer, Pace: r.pace,
+		})
+		r.guard.Loop.CloseWork(r.mailbox)
+	})
+}
--- /dev/null
+++ b/internal/mesh/node/adapter.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/caller"
+	"github.com/tanagerline/tanagerline/internal/edge/upstream"
+)
+
+const (
+	// adapterTick is how often time passes for a node whose work takes milliseconds.
+	adapterTick = 20 * time.Millisecond
+	// firstRetry and lastRetry bound the time between two tries at the platform's store.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = time.Second
+	// firstListing and listingPeriod are the time between two readings of the directory,
+	// which grows while a fleet starts; members that it lacks introduce themselves.
+	firstListing  = time.Second
+	listingPeriod = 10 * time.Second
+)
+
+// Directory is where members find each other.
+type Directory interface {
+	// Announce names a member; it may be repeated.
+	Announce(ctx context.Context, member reducer.MemberSpec) error
+	// Members returns every member that was announced.
+	Members(ctx context.Context) ([]reducer.MemberSpec, error)
+}
+
+// Plans is where operators publish plans.
+type Plans interface {
+	// Watch hands over each plan that is newer than the last until an error or the
+	// context ends it.
+	Watch(ctx context.Context, deliver func(reducer.Plan)) error
+}
+
+// Adapter speaks the protocols of a platform in place of the node's own.
+type Adapter struct {
+	// Callers returns the callers' protocol; clock tells the node's time.
+	Callers func(clock func() time.Time) caller.Protocol
+	// Upstream is the protocol for the upstream.
+	Upstream upstream.Protocol
+	// Announcements returns the handler of what the upstream says of itself.
+	Announcements func(do func(reducer.Event)) http.Handler
+	// Ready returns the handler of the platform's question for readiness.
+	Ready func(ready func() bool) http.Handler
+	// Directory is where members find each other.
+	Directory Directory
+	// Plans is where operators publish plans.
+	Plans Plans
+}
+
+func (a *Adapter) upstreamProtocol() upstream.Protocol {
+	if a == nil {
+		return nil
+	}
+	return a.Upstream
+}
+
+func (a *Adapter) callerProtocol(clock func() time.Time) caller.Protocol {
+	if a == nil {
+		return nil
+	}
+	return a.Callers(clock)
+}
+
+// tickPeriod is the time between two ticks; zero is a default.
+func (n *Node) tickPeriod() time.Duration {
+	if n.Adapter == nil {
+		return 0
+	}
+	return adapterTick
+}
+
+// runAdapter starts what keeps in touch with the platform's store.
+func (n *Node) runAdapter(ctx context.Context) {
+	n.work.Go(func() { n.watchPlans(ctx) })
+	n.work.Go(func() {
+		n.announceSelf(ctx)
+		n.listMembers(ctx)
+	})
+}
+
+// watchPlans puts published plans in force until the context ends.
+func (n *Node) watchPlans(ctx context.Context) {
+	dependency := n.dependency("plans")
+	retry := firstRetry
+	for ctx.Err() == nil {
+		err := n.Adapter.Plans.Watch(ctx, func(plan reducer.Plan) {
+			dependency.regained()
+			retry = firstRetry
+			n.loop.Do(reducer.PlanPublished{Plan: plan})
+		})
+		if err == nil {
+			dependency.regained()
+			retry = firstRetry
+			continue
+		}
+		dependency.lost(err)
+		pause(ctx, &retry)
+	}
+}
+
+// announceSelf names this node in the directory.
+func (n *Node) announceSelf(ctx context.Context) {
+	var self reducer.MemberSpec
+	n.loop.Inspect(func(r *reducer.Reducer) { self = r.Self })
+	dependency := n.dependency("directory")
+	retry := firstRetry
+	for ctx.Err() == nil {
+		err := n.Adapter.Directory.Announce(ctx, self)
+		if err == nil {
+			dependency.regained()
+			return
+		}
+		dependency.lost(err)
+		pause(ctx, &retry)
+	}
+}
+
+// listMembers reads the directory until the context ends.
+func (n *Node) listMembers(ctx context.Context) {
+	dependency := n.dependency("directory")
+	retry := firstRetry
+	period := firstListing
+	for ctx.Err() == nil {
+		specs, err := n.Adapter.Directory.Members(ctx)
+		if err != nil {
+			dependency.lost(err)
+			pause(ctx, &retry)
+			continue
+		}
+		dependency.regained()
+		retry = firstRetry
+		members := make([]reducer.Member, 0, len(specs))
+		for _, spec := range specs {
+			members = append(members, reducer.NewMember(spec))
+		}
+		n.loop.Do(reducer.MembersListed{Members: members})
+		pause(ctx, &period)
+		period = listingPeriod
+	}
+}
+
+// pause waits for about a time, which doubles up to the longest wait for a retry.
+func pause(ctx context.Context, wait *time.Duration) {
+	timer := time.NewTimer(*wait/2 + rand.N(*wait))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	*wait = min(2**wait, lastRetry)
+}
+
+// dependency notes when something that the node needs is lost and regained.
+type dependency struct {
+	node *Node
+	name string
+	down bool
+}
+
+func (n *Node) dependency(name string) *dependency { return &dependency{node: n, name: name} }
+
+func (d *dependency) lost(err error) {
+	if d.down {
+		return
+	}
+	d.down = true
+	d.node.Logger.Warn().Str("event", "dependency-lost").Str("dependency", d.name).Err(err).Msgs()
+}
+
+func (d *dependency) regained() {
+	if !d.down {
+		return
+	}
+	d.down = false
+	d.node.Logger.Info().Str("event", "dependency-regained").Str("dependency", d.name).Msgs()
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -22,7 +22,7 @@
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 	"github.com/tanagerline/tanagerline/internal/operator/console"
 	"github.com/tanagerline/tanagerline/internal/operator/settings"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 // closeAllowance bounds the closing of listeners after a stop.
@@ -34,6 +34,8 @@
 	Settings settings.Node
 	// Log is the platform's log; by default it is the one that the settings name.
 	Log stream.Log
+	// Adapter speaks the users' platform's own protocols; nil speaks the node's own.
+	Adapter *Adapter
 	// Logger takes one line for each event.
 	Logger *log.Logger
 	// Started is told when all listeners are open; it may be nil.
@@ -44,6 +46,7 @@
 	guard    *upstream.Guard
 	entry    *caller.Entry
 	appender *stream.Appender
+	reports  *peer.Reports
 	stopping atomic.Bool
 	telling  atomic.Int64
 	control  peer.ByteCounter
@@ -87,16 +90,13 @@
 	return nil
 }
 
-// wallClock tells the time without its monotonic part, which would stand still
-// while the VM is suspended: an attempt must not look younger than it is.
-func wallClock() time.Time { return time.Now().Round(0) }
-
 // assemble makes the node's parts.
 func (n *Node) assemble() error {
 	incarnation := rand.Uint64()
 	n.failures = make(chan error, 8)
 	n.loop = &loop.Loop{
-		Clock: wallClock,
+		Clock:  loop.NewSteadyClock().Now,
+		Period: n.tickPeriod(),
 		Reducer: &reducer.Reducer{
 			Self: reducer.MemberSpec{
 				Address: n.Settings.Listen.PeersAnnounced, Incarnation: incarnation, Started: time.Now().UTC(),
@@ -112,13 +112,15 @@
 	}
 	n.client = &peer.Client{Loop: n.loop, TLS: clientTLS, Counter: &n.control}
 	n.client.Prepare()
-	n.guard = &upstream.Guard{Loop: n.loop, Telling: n.telling.Load}
+	n.guard = &upstream.Guard{Loop: n.loop, Telling: n.telling.Load, Protocol: n.Adapter.upstreamProtocol()}
 	n.guard.Prepare()
 	n.entry = &caller.Entry{
 		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
-		BodyTime: n.Settings.Limits.BodyTime,
-		Self:     reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
+		BodyTime: n.Settings.Limits.BodyTime, Protocol: n.Adapter.callerProtocol(n.loop.Clock), BodyBytes: n.Settings.Limits.BodyBytes,
+		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
 	}
+	n.entry.Prepare()
+	n.reports = &peer.Reports{Loop: n.loop, Address: n.Settings.Listen.Peers, Logger: n.Logger}
 	if n.Log == nil {
 		n.Log = stream.NewClient(n.Settings.LogURL, n.control.Dial)
 	}
@@ -128,6 +130,14 @@
 
 // background starts what runs beside the listeners.
 func (n *Node) background(ctx context.Context) {
+	n.work.Go(func() { n.loop.Run(ctx) })
+	if n.Settings.Decisions.ReportNear > 0 {
+		n.work.Go(func() { n.reports.Run(ctx) })
+	}
+	if n.Adapter != nil {
+		n.runAdapter(ctx)
+		return
+	}
 	reader := &stream.Reader{
 		Log: n.Log, Loop: n.loop, Period: n.Settings.LogPeriod,
 		Failed: func(err error) {
@@ -135,12 +145,13 @@
 		},
 	}
 	n.work.Go(func() { reader.Run(ctx) })
-	n.work.Go(func() { n.loop.Run(ctx) })
 }
 
 // carryOut starts an effect that belongs to no call.
 func (n *Node) carryOut(ctx context.Context, effect reducer.Effect) {
 	switch e := effect.(type) {
+	case reducer.TellLoad:
+		n.reports.Tell(e)
 	case reducer.AskPeer:
 		go n.client.Exchange(e)
 	case reducer.OfferHandover:
@@ -189,7 +200,11 @@
 	if err != nil {
 		return err
 	}
-	announcements := &upstream.Announcements{Loop: n.loop, Guard: n.guard}
+	if n.Settings.Decisions.ReportNear > 0 {
+		if err := n.reports.Listen(); err != nil {
+			return err
+		}
+	}
 	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded}
 	operators := &console.Server{Loop: n.loop, ControlBytes: n.control.Bytes}
 	listeners := []struct {
@@ -200,9 +215,17 @@
 		{n.Settings.Listen.Callers, n.entry.Handler(), nil},
 		{n.Settings.Listen.Peers, peers.Handler(), serverTLS},
 		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
-		{n.Settings.Listen.Upstream, announcements.Handler(), nil},
+		{n.Settings.Listen.Upstream, n.announcements(), nil},
+		{n.Settings.Listen.Ready, operators.Handler(), nil},
+		{n.Settings.Listen.Metrics, operators.Handler(), nil},
+	}
+	if n.Adapter != nil {
+		listeners[4].handler = n.Adapter.Ready(n.ready)
 	}
 	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
 		if err := n.serve(l.address, l.handler, l.tls); err != nil {
 			return err
 		}
@@ -210,6 +233,22 @@
 	return nil
 }
 
+// announcements returns the handler of the upstream's listener.
+func (n *Node) announcements() http.Handler {
+	if n.Adapter != nil {
+		return n.Adapter.Announcements(n.loop.Do)
+	}
+	own := &upstream.Announcements{Loop: n.loop, Guard: n.guard}
+	return own.Handler()
+}
+
+// ready reports whether callers may be sent to this node.
+func (n *Node) ready() bool {
+	known := false
+	n.loop.Inspect(func(r *reducer.Reducer) { known = r.Ready() })
+	return known && !n.stopping.Load()
+}
+
 func (n *Node) serve(address string, handler http.Handler, tlsConfig *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/mesh/peer/convert.go
+++ b/internal/mesh/peer/convert.go
@@ -14,7 +14,7 @@
 	return &MemberInfo{
 		Address: s.Address, Incarnation: s.Incarnation, StartedUnixNanoseconds: s.Started.UnixNano(),
 		Version: s.Version, Region: s.Region, Zone: s.Zone, Service: s.Service, Upstream: s.Upstream,
-		Slots: int32(s.Slots), Leaving: s.Leaving, Operators: s.Operators,
+		Slots: int32(s.Slots), Leaving: s.Leaving, Operators: s.Operators, Instance: s.Instance,
 	}
 }
 
@@ -23,7 +23,7 @@
 		Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
 		Started: time.Unix(0, m.GetStartedUnixNanoseconds()).UTC(), Version: m.GetVersion(),
 		Region: m.GetRegion(), Zone: m.GetZone(), Service: m.GetService(), Upstream: m.GetUpstream(),
-		Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Operators: m.GetOperators(),
+		Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Operators: m.GetOperators(), Instance: m.GetInstance(),
 	})
 }
 
--- a/internal/mesh/peer/headers.go
+++ b/internal/mesh/peer/headers.go
@@ -21,6 +21,7 @@
 	HeaderKind           = "Tanagerline-Kind"
 	HeaderLoad           = "Tanagerline-Load"
 	HeaderNotHome        = "Tanagerline-Not-Home"
+	HeaderObjective      = "Tanagerline-Objective"
 	HeaderOutcome        = "Tanagerline-Outcome"
 	HeaderReason         = "Tanagerline-Reason"
 	HeaderReplay         = "Tanagerline-Replay"
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -35,13 +35,13 @@
 	run(ctx context.Context, stdout, stderr io.Writer) error
 }
 
-func commands() []command {
+func commands(adapter AdapterFactory) []command {
 	return []command{
 		&burnCommand{},
 		&demoCommand{},
 		&explainCommand{},
 		&loadCommand{},
-		&nodeCommand{},
+		&nodeCommand{adapter: adapter},
 		&settingsCommand{},
 		&sheetCommand{},
 		&statusCommand{},
@@ -49,12 +49,14 @@
 }
 
 // Main runs the command that args name and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+//
+// The adapter factory is called for a node whose settings ask for an adapter.
+func Main(args []string, stdout, stderr io.Writer, adapter AdapterFactory) int {
 	parser := flaggy.NewParser("tanagerline")
 	parser.Description = "A load balancer for servers whose load shifts in milliseconds."
 	parser.ShowHelpOnUnexpected = true
 	parser.DisableShowVersionWithVersion()
-	list := commands()
+	list := commands(adapter)
 	for _, c := range list {
 		parser.AttachSubcommand(c.attach(), 1)
 	}
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"os"
 
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
@@ -16,8 +17,16 @@
 type nodeCommand struct {
 	sub    *flaggy.Subcommand
 	config string
+	// adapter makes the adapter for a node's platform.
+	adapter AdapterFactory
 }
 
+// AdapterFactory makes the adapter for the platform that a node's settings name.
+type AdapterFactory func(settings.Node) *node.Adapter
+
+// settingsVariable names the settings file where the command line doesn't.
+const settingsVariable = "TANAGERLINE_CONFIG"
+
 func (c *nodeCommand) attach() *flaggy.Subcommand {
 	c.sub = flaggy.NewSubcommand("node")
 	c.sub.Description = "Run the process beside an upstream; SIGTERM stops it gracefully."
@@ -27,15 +36,21 @@
 
 func (c *nodeCommand) used() bool { return c.sub.Used }
 
-func (c *nodeCommand) run(ctx context.Context, _, stderr io.Writer) error {
+func (c *nodeCommand) run(ctx context.Context, stdout, _ io.Writer) error {
 	if c.config == "" {
-		return UsageError{Remedy: "node: name the settings file with --config FILE"}
+		c.config = os.Getenv(settingsVariable)
+	}
+	if c.config == "" {
+		return UsageError{Remedy: "node: name the settings file with --config FILE, or in " + settingsVariable + ""}
 	}
 	loaded, err := settings.Load(c.config)
 	if err != nil {
 		return err
 	}
-	n := &node.Node{Settings: loaded, Logger: newLogger(stderr)}
+	n := &node.Node{Settings: loaded, Logger: newLogger(stdout)}
+	if loaded.Adapter {
+		n.Adapter = c.adapter(loaded)
+	}
 	return n.Run(ctx)
 }
 
--- a/internal/operator/cli/sheetcmd.go
+++ b/internal/operator/cli/sheetcmd.go
@@ -14,8 +14,8 @@
 	"github.com/samber/oops"
 
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
-	"github.com/tanagerline/tanagerline/internal/platform/sheet"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/operator/sheet"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 const (
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -15,8 +15,8 @@
 	"github.com/tanagerline/tanagerline/internal/operator/console"
 	"github.com/tanagerline/tanagerline/internal/operator/load"
 	"github.com/tanagerline/tanagerline/internal/operator/report"
-	"github.com/tanagerline/tanagerline/internal/platform/sheet"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/operator/sheet"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 const (
--- a/internal/operator/demo/fleet.go
+++ b/internal/operator/demo/fleet.go
@@ -13,7 +13,7 @@
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
 	"github.com/tanagerline/tanagerline/internal/mesh/node"
 	"github.com/tanagerline/tanagerline/internal/operator/settings"
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 const (
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,11 @@
 	Peers     string
 	Operators string
 	Upstream  string
+	// Ready is where the platform asks whether callers may be sent here; it is empty
+	// where only the operators' listener tells.
+	Ready string
+	// Metrics is where metrics are served beside the operators' listener, or empty.
+	Metrics string
 	// PeersAnnounced is where other nodes reach the peers' listener.
 	PeersAnnounced string
 }
@@ -44,13 +50,22 @@
 	IdleTime       time.Duration
 	BodyTime       time.Duration
 	MaxConnections int
+	// BodyBytes bounds the request bodies that are kept for another attempt; zero is a
+	// default.
+	BodyBytes int64
 }
 
 // Node holds the settings of one node.
 type Node struct {
-	Region    string
-	Zone      string
-	Listen    Listen
+	Region string
+	Zone   string
+	Listen Listen
+	// Service is the service on this VM, and Upstream the address of its upstream; both
+	// may be empty where the upstream announces them.
+	Service  string
+	Upstream string
+	// Adapter tells that the node speaks the users' platform's own protocols.
+	Adapter   bool
 	LogURL    string
 	LogPeriod time.Duration
 	Seeds     []string
@@ -118,8 +133,13 @@
 			Operators: r.listener("operators"),
 			Upstream:  r.listener("upstream"),
 
+			Ready:          r.optionalListener("ready"),
+			Metrics:        r.optionalListener("metrics"),
 			PeersAnnounced: r.announced(),
 		},
+		Service:   r.text("node", "service"),
+		Upstream:  r.optionalAddress("node", "upstream"),
+		Adapter:   r.flag("platform", "adapter"),
 		LogURL:    r.logURL(),
 		LogPeriod: r.duration("platform", "poll", 2*time.Second, 10*time.Millisecond, 10*time.Second),
 		Seeds:     r.addresses("peers", "seeds"),
@@ -130,6 +150,7 @@
 			IdleTime:       r.duration("limits", "idle_time", 90*time.Second, time.Second, time.Hour),
 			BodyTime:       r.duration("limits", "body_time", 30*time.Second, 10*time.Millisecond, time.Hour),
 			MaxConnections: r.integer("limits", "connections", 4096, 1, 1<<20),
+			BodyBytes:      int64(r.integer("limits", "kept_body_bytes", 0, 0, 1<<30)),
 		},
 		Decisions: r.decisions(),
 	}
@@ -166,8 +187,13 @@
 	s.ClockSkew = r.duration("keys", "clock_skew", s.ClockSkew, 0, time.Hour)
 	s.MaxKeys = r.integer("keys", "count", s.MaxKeys, 1, 10_000_000)
 	s.MaxAnswerBytes = r.integer("keys", "answer_bytes", s.MaxAnswerBytes, 0, 1<<30)
+	s.SharedRetries = r.integer("retries", "shared", s.SharedRetries, 0, 1_000_000)
+	s.SharedRetryWindow = r.duration("retries", "shared_window", s.SharedRetryWindow, time.Second, time.Hour)
+	s.ReportNear = r.duration("reports", "near", s.ReportNear, 0, 10*time.Second)
+	s.ReportFar = r.duration("reports", "far", s.ReportFar, 10*time.Millisecond, time.Minute)
+	s.StopLinger = r.duration("stop", "linger", s.StopLinger, 0, time.Hour)
 	s.ExchangePeriod = r.duration("peers", "exchange", s.ExchangePeriod, 20*time.Millisecond, time.Minute)
-	s.Retention = r.duration("platform", "retention", s.Retention, time.Second, 365*24*time.Hour)
+	s.Retention = r.duration("platform", "retention", s.Retention, 0, 365*24*time.Hour)
 	s.FreshAnswer = r.duration("probes", "fresh_answer", s.FreshAnswer, 10*time.Millisecond, time.Minute)
 	s.ProbePeriod = r.duration("probes", "period", s.ProbePeriod, 10*time.Millisecond, time.Minute)
 	s.ProbeWork = r.duration("probes", "work", s.ProbeWork, 0, time.Second)
@@ -207,6 +233,30 @@
 	return value
 }
 
+// optionalListener returns a listener's address, or an empty string.
+func (r *reader) optionalListener(key string) string { return r.optionalAddress("listen", key) }
+
+func (r *reader) optionalAddress(section, key string) string {
+	value := r.text(section, key)
+	if value != "" && !validAddress(value) {
+		r.problem(section, key, fmt.Sprintf("%q is no IP number with a port; write it such as 127.0.0.1:9000", value))
+	}
+	return value
+}
+
+// flag returns a value that is off where the key is not set.
+func (r *reader) flag(section, key string) bool {
+	value := r.text(section, key)
+	if value == "" {
+		return false
+	}
+	on, err := strconv.ParseBool(value)
+	if err != nil {
+		r.problem(section, key, fmt.Sprintf("%q is neither true nor false", value))
+	}
+	return on
+}
+
 // announced is the peers' listener as other nodes reach it; by default it is the
 // listener's own address.
 func (r *reader) announced() string {
@@ -329,6 +379,7 @@
 	seen := map[string]string{}
 	listeners := []struct{ key, address string }{
 		{"callers", l.Callers}, {"peers", l.Peers}, {"operators", l.Operators}, {"upstream", l.Upstream},
+		{"ready", l.Ready}, {"metrics", l.Metrics},
 	}
 	for _, listener := range listeners {
 		if listener.address == "" {
--- a/main.go
+++ b/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/tanagerline/tanagerline/internal/operator/cli"
+	"github.com/tanagerline/tanagerline/platform"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, platform.New))
 }
--- a/main_test.go
+++ b/main_test.go
@@ -8,6 +8,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/tanagerline/tanagerline/internal/operator/cli"
+	"github.com/tanagerline/tanagerline/platform"
 )
 
 // TestMain makes the program and the stand-ins commands of the test binary.
@@ -22,7 +23,7 @@
 		"platform":    func() { os.Exit(platformMain(os.Args[1:])) },
 		"raw":         func() { rawMain(os.Args[1:]) },
 		"relay":       func() { log.Fatal(relayMain(os.Args[1:])) },
-		"tanagerline": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"tanagerline": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, platform.New)) },
 		"upstream":    func() { os.Exit(upstreamMain(os.Args[1:])) },
 	})
 }
--- a/standin_platform_test.go
+++ b/standin_platform_test.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tanagerline/tanagerline/internal/platform/stream"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 // platformStandIn is the platform's log with faults that scripts switch on.
