--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,10 @@
 	Log stream.Log
 	// Adapter speaks the users' platform's own protocols; nil speaks the node's own.
 	Adapter *Adapter
+	// SettingsFile is read again when it changes; empty reads none.
+	SettingsFile string
+	// Reload asks for the settings file to be read at once; it may be nil.
+	Reload <-chan os.Signal
 	// Logger takes one line for each event.
 	Logger *log.Logger
 	// Started is told when all listeners are open; it may be nil.
@@ -131,6 +136,7 @@
 // background starts what runs beside the listeners.
 func (n *Node) background(ctx context.Context) {
 	n.work.Go(func() { n.loop.Run(ctx) })
+	n.work.Go(func() { n.watchSettings(ctx) })
 	if n.Settings.Decisions.ReportNear > 0 {
 		n.work.Go(func() { n.reports.Run(ctx) })
 	}
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
@@ -47,7 +49,10 @@
 	if err != nil {
 		return err
 	}
-	n := &node.Node{Settings: loaded, Logger: newLogger(stdout)}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	n := &node.Node{Settings: loaded, SettingsFile: c.config, Reload: reload, Logger: newLogger(stdout)}
 	if loaded.Adapter {
 		n.Adapter = c.adapter(loaded)
 	}
