--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -15,7 +15,7 @@
 	firstServiceTime = 50 * time.Millisecond
 	// remoteRoom is the share of an upstream's slots that may be taken when another
 	// region sends it work: its own region fills the rest within a report's age.
-	remoteRoom = 0.7
+	remoteRoom = 0.35
 )
 
 // place picks the upstream for the next attempt of a routed call, or nil. It answers
