Take late attempts only into free slots, or where they are short

Cause: attempts that had missed their objective were queued as long as their deadline allowed, and held slots that timely ones needed when they arrived.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -134,6 +134,9 @@
 	if impatient {
 		return RefusalBusy
 	}
+	if g.running >= g.slots && a.expected(w, r.now)*lateWorth > a.mean {
+		return RefusalDeadline
+	}
 	if finish.Add(returnAllowance+r.lateAhead(w)).After(w.deadline) {
 		return RefusalDeadline
 	}
