--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -4,8 +4,8 @@
 
 const (
 	// maxTries bounds the guards that a routed call asks before it is refused: each
-	// takes a round trip, and the third most often knows as little room as the second.
-	maxTries = 3
+	// takes a round trip of milliseconds, far less than a caller loses by coming back.
+	maxTries = 5
 	// returnLeast and returnMost bound how soon a refused caller is asked to return.
 	returnLeast = 40 * time.Millisecond
 	returnMost  = 400 * time.Millisecond
