--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -137,7 +137,7 @@
 	if g.running >= g.slots && a.expected(w, r.now)*lateWorth > a.mean {
 		return RefusalDeadline
 	}
-	if finish.Add(returnAllowance+r.lateAhead(w)).After(w.deadline) {
+	if finish.Add(returnAllowance + r.lateAhead(w)).After(w.deadline) {
 		return RefusalDeadline
 	}
 	a.late = append(a.late, w)
--- a/internal/decision/reducer/announce.go
+++ b/internal/decision/reducer/announce.go
@@ -36,6 +36,10 @@
 	r.Self.Slots = r.guard.slots
 	r.Self.Instance = r.guard.instance
 	r.Self.Leaving = r.leaving() || r.guard.dead
+	r.note(Decided{
+		Kind: DecidedUpstream, Service: r.Self.Service, Peer: r.Self.Upstream, Reason: r.upstreamState(),
+		Plan: r.inForce.offset, Load: float64(r.guard.slots),
+	})
 	r.members.self = NewMember(r.Self)
 	r.members.merge(r.members.self, r.index, r.now, r.memberLifetime())
 	r.announcing.due = r.now
@@ -43,6 +47,22 @@
 	r.introduce()
 }
 
+// upstreamState says why the upstream takes work or not.
+func (r *Reducer) upstreamState() string {
+	switch {
+	case r.stopping:
+		return "node-stopping"
+	case r.guard.upstream == "":
+		return "not-announced"
+	case r.guard.dead:
+		return "gone"
+	case r.leaving():
+		return "leaving"
+	default:
+		return "ready"
+	}
+}
+
 // announce restates on the log what must outlast its retention.
 func (r *Reducer) announce() {
 	if r.members.peers[r.Self.Address] == nil {
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -155,6 +155,7 @@
 	}
 	r.counts.Attempts++
 	r.trace.add(r.now, c, p, TraceChosen)
+	r.decidedSent(c, p)
 	r.emit(r.sendAttempt(c))
 }
 
@@ -163,7 +164,7 @@
 		Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target, Key: c.key,
 		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
 		Retries: c.retriesLeft, Replay: c.attempt.replay, Fingerprint: c.fingerprint,
-		Impatient: r.impatient(c), Service: c.service, Objective: c.objective,
+		Impatient: r.impatient(c), Service: c.service, Objective: c.objective, RequestID: c.requestID,
 	}
 }
 
@@ -216,6 +217,7 @@
 		return
 	}
 	c.callerLeft = true
+	r.decidedCall(DecidedLeft, c, Decided{})
 	if c.memory != nil && len(c.memory.waiting) > 0 {
 		// Another send of the same key waits for this run, so it goes on.
 		return
@@ -285,6 +287,7 @@
 	c.answered = true
 	r.countCall(c, false)
 	r.trace.rejected(r.now, c, outcome, problem)
+	r.decidedCall(DecidedRejected, c, Decided{Reason: string(problem) + "," + string(outcome)})
 	r.emit(RejectCall{Call: c.id, Outcome: outcome, Problem: problem, Key: c.key, ReturnAt: r.returnAt(c, outcome, problem)})
 }
 
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -91,6 +91,8 @@
 		// Impatient asks the guard to refuse rather than to let the attempt wait.
 		Impatient   bool
 		Fingerprint uint64
+		// RequestID names the caller's request in logs, or is empty.
+		RequestID string
 		// Service is the service that the attempt is for.
 		Service string
 		// Objective is when an answer loses most of its worth, or zero.
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -160,6 +160,8 @@
 		Impatient bool
 		// Objective is when an answer loses most of its worth, or zero.
 		Objective time.Time
+		// RequestID names the caller's request in logs, or is empty.
+		RequestID string
 	}
 
 	// WorkEnded is the end of a started attempt.
@@ -276,6 +278,9 @@
 	// PlanPublished is a plan that operators published outside of the log.
 	PlanPublished struct{ Plan Plan }
 
+	// PlansReached tells whether the place where plans are published answers.
+	PlansReached struct{ Reached bool }
+
 	// MembersListed is what a directory of members holds.
 	MembersListed struct{ Members []Member }
 
@@ -317,6 +322,7 @@
 func (UpstreamReplaced) event()  {}
 func (ProbeEnded) event()        {}
 func (PlanPublished) event()     {}
+func (PlansReached) event()      {}
 func (MembersListed) event()     {}
 func (LoadHeard) event()         {}
 func (RecordRead) event()        {}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -142,6 +142,7 @@
 	w := &work{
 		id: e.Work, attempt: e.Attempt, name: keyName{service: e.Service, key: e.Key}, keyed: e.Keyed, length: e.Length, weight: 1,
 		deadline: e.Deadline, fingerprint: e.Fingerprint, objective: e.Objective, route: e.Kind,
+		requestID: e.RequestID, arrived: r.now,
 	}
 	if !e.Objective.IsZero() {
 		w.objectiveTime = max(0, e.Objective.Sub(r.now))
@@ -267,6 +268,7 @@
 
 func (r *Reducer) refuseWork(w *work, reason RefusalReason) {
 	r.counts.Refused++
+	r.decidedWork(DecidedDenied, w, string(reason))
 	r.emit(RefuseWork{Work: w.id, Reason: reason})
 }
 
@@ -324,6 +326,7 @@
 	}
 	r.memory.started(w)
 	r.counts.Started++
+	r.decidedWork(DecidedStarted, w, "")
 	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.instance})
 }
 
@@ -349,6 +352,7 @@
 			g.sample(w.length, r.now.Sub(w.started))
 		}
 	}
+	r.decidedWork(DecidedEnded, w, string(e.Outcome))
 	r.memory.close(w, e.Outcome, e.Answer)
 	r.answerJoined(w.attempt)
 	r.startWork()
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -50,7 +50,11 @@
 	hash          uint64
 	exchangeDue   time.Time
 	planAskDue    time.Time
-	refreshDue    time.Time
+	// farPlan is a later plan that another region has, and farPlanDue when it may be
+	// fetched from there.
+	farPlan    int64
+	farPlanDue time.Time
+	refreshDue time.Time
 }
 
 // hotMember is a recent announcement that is still being spread.
@@ -242,6 +246,24 @@
 		return
 	}
 	r.members.merge(member, r.index, r.now, r.memberLifetime())
+	r.decidedMember(known, member)
+}
+
+// decidedMember tells of a member that is new, or whose upstream takes work or not.
+func (r *Reducer) decidedMember(known *peer, member Member) {
+	if known != nil && known.member.ID() == member.ID() && known.announcedLeaving == member.Leaving() {
+		return
+	}
+	if p := r.members.peers[member.ID().Address()]; p != nil {
+		p.announcedLeaving = member.Leaving()
+	}
+	reason := "ready"
+	if member.Leaving() {
+		reason = "leaving"
+	}
+	r.note(Decided{
+		Kind: DecidedMember, Peer: member.ID().String(), Service: member.Service(), Reason: reason, Plan: r.inForce.offset,
+	})
 }
 
 // memberLifetime is how long a member is remembered that is not announced again.
@@ -283,13 +305,29 @@
 
 // askForPlan asks a peer that shows a later plan, at most once in a while.
 func (r *Reducer) askForPlan(p *peer, offset int64) {
-	if offset <= r.inForce.offset || r.now.Before(r.members.planAskDue) {
+	if offset <= r.inForce.offset || r.now.Before(r.members.planAskDue) || !r.worthTheWay(p, offset) {
 		return
 	}
 	r.members.planAskDue = r.now.Add(planAskPeriod)
 	r.ask(p)
 }
 
+// nearPlanTime is how long a plan that another region has is awaited from the own one:
+// plans are long, and bytes between regions are paid for.
+const nearPlanTime = 600 * time.Millisecond
+
+// worthTheWay reports whether a peer may be asked for the plan at offset now.
+func (r *Reducer) worthTheWay(p *peer, offset int64) bool {
+	if p.tier != tierOther || r.Settings.ReportNear <= 0 || r.inForce.offset == 0 {
+		return true
+	}
+	if r.members.farPlan < offset {
+		r.members.farPlan = offset
+		r.members.farPlanDue = r.now.Add(nearPlanTime)
+	}
+	return !r.now.Before(r.members.farPlanDue)
+}
+
 func (r *Reducer) ask(p *peer) {
 	r.emit(AskPeer{
 		Address: p.member.ID().Address(), Digest: r.digest(), Members: r.members.takeHot(),
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -15,6 +15,7 @@
 	}
 	r.askForPlan(a.peer, e.Load.planOffset)
 	r.trace.add(r.now, c, a.peer, TraceAnswered)
+	r.decidedCall(DecidedAnswered, c, Decided{Status: e.Status})
 	r.emit(RelayAnswer{Call: c.id, Attempt: a.id, Key: c.key, Target: a.target})
 }
 
@@ -26,6 +27,7 @@
 	a := c.attempt
 	r.endAttempt(c)
 	r.trace.refusal(r.now, c, a.peer, e.Reason)
+	r.decidedCall(DecidedRefused, c, Decided{Reason: string(e.Reason), Load: float64(e.Load.short)})
 	if a.replay {
 		r.reject(c, OutcomeUnknown, ProblemAnswerNotKept)
 		return
@@ -72,6 +74,7 @@
 	r.endAttempt(c)
 	r.noteCrash(c.fingerprint, e.Crash)
 	r.trace.add(r.now, c, a.peer, TraceLost)
+	r.decidedCall(DecidedLost, c, Decided{Reason: lostReason(e)})
 	if !a.replay && !c.callerLeft {
 		failed := r.now.Before(c.deadline)
 		a.peer.answered(r.now, a.length, r.now.Sub(a.started), failed, r.median(c.service))
@@ -95,6 +98,14 @@
 	}
 }
 
+// lostReason tells how far an attempt without an answer came.
+func lostReason(e AttemptLost) string {
+	if e.Dispatched {
+		return "no-whole-answer-from-upstream"
+	}
+	return "no-answer-from-guard"
+}
+
 func (r *Reducer) problemAfterLoss(c *call) ProblemKind {
 	if !r.now.Before(c.deadline) {
 		return ProblemDeadline
@@ -108,6 +119,7 @@
 		return
 	}
 	r.trace.settled(r.now, c, c.attempt.peer, e.Outcome)
+	r.decidedCall(DecidedSettled, c, Decided{Reason: string(e.Outcome)})
 	switch e.Outcome {
 	case OutcomeNotRun:
 		if c.route != nil {
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -32,6 +32,10 @@
 	expires time.Time
 	// heardAt is when the peer last reported its load by itself.
 	heardAt time.Time
+	// announcedLeaving is what the operators were told last.
+	announcedLeaving bool
+	// plansReachable tells that the peer reaches the place where plans are published.
+	plansReachable bool
 	// excluded tells that the plan sends no new work there.
 	excluded bool
 	weight   int
--- a/internal/decision/reducer/quarantine.go
+++ b/internal/decision/reducer/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -125,6 +126,7 @@
 // at once.
 func (r *Reducer) suspect(fingerprint, crash uint64) {
 	r.noteCrash(fingerprint, crash)
+	r.note(Decided{Kind: DecidedQuarantined, Reason: strconv.FormatUint(fingerprint, 16), Service: r.guard.service, Plan: r.inForce.offset})
 	told := *r.suspects.known[fingerprint]
 	service := r.members.services[r.guard.service]
 	if service == nil {
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -13,6 +13,8 @@
 	keyed       bool
 	length      Length
 	weight      int
+	requestID   string
+	arrived     time.Time
 	deadline    time.Time
 	fingerprint uint64
 	running     bool
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -23,6 +23,7 @@
 	begun     time.Time
 	random    *rand.Rand
 	effects   []Effect
+	notes     []Effect
 	sequence  uint64
 	prefix    string
 	stopping  bool
@@ -35,6 +36,8 @@
 	routes      routeTable
 	budgets     retryBudgets
 	reporting   reporting
+	// plansReachable tells that the place where plans are published answers.
+	plansReachable bool
 
 	log     logState
 	inForce Plan
@@ -94,6 +97,9 @@
 	default:
 		r.stepMember(e)
 	}
+	r.effects = append(r.effects, r.notes...)
+	clear(r.notes)
+	r.notes = r.notes[:0]
 	return r.effects
 }
 
@@ -186,6 +192,8 @@
 		r.announcing.confirm(e.ID)
 	case PlanPublished:
 		r.adopt(e.Plan)
+	case PlansReached:
+		r.plansReached(e)
 	case MembersListed:
 		r.membersListed(e)
 	case LoadHeard:
@@ -257,6 +265,7 @@
 		return
 	}
 	r.inForce = plan
+	r.note(Decided{Kind: DecidedPlan, Plan: plan.offset, Reason: plan.spec.ID, Load: float64(len(plan.spec.Routes))})
 	r.index = planIndex{}
 	for _, s := range plan.spec.Services {
 		indexed := &indexedService{plan: s, kinds: map[string]*indexedKind{}}
@@ -266,6 +275,7 @@
 		r.index[s.Name] = indexed
 	}
 	r.routes.replan(plan.spec.Routes)
+	r.introduce()
 	r.members.replan(r.index)
 	r.refuseQueueWhenLeaving()
 }
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -45,7 +45,7 @@
 	changed := load != t.told
 	if !r.now.Before(t.quietDue) || (changed && !r.now.Before(t.nearDue)) {
 		t.told = load
-		t.nearDue = r.now.Add(r.Settings.ReportNear)
+		t.nearDue = r.now.Add(r.nearPeriod())
 		t.quietDue = r.now.Add(quietReport)
 		members := r.introduction()
 		r.tellLoad(members, func(p *peer) bool { return p.tier != tierOther })
@@ -59,6 +59,22 @@
 	}
 }
 
+// nearPeriod is the time between two reports to the own region: the more peers there
+// are, the longer, so that reports stay within their bound.
+func (r *Reducer) nearPeriod() time.Duration {
+	period := r.Settings.ReportNear
+	if r.Settings.ReportsPerSecond <= 0 {
+		return period
+	}
+	near := 0
+	for _, p := range r.members.order {
+		if p.tier == tierZone || p.tier == tierRegion {
+			near++
+		}
+	}
+	return max(period, time.Duration(near)*time.Second/time.Duration(r.Settings.ReportsPerSecond))
+}
+
 // introduction returns this node's announcement when it is due with a report.
 func (r *Reducer) introduction() []Member {
 	t := &r.reporting
@@ -86,6 +102,7 @@
 func (r *Reducer) loadDigest() Digest {
 	return Digest{
 		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset, Load: r.loadReport(),
+		LogKnown: r.plansReachable,
 	}
 }
 
@@ -106,6 +123,7 @@
 	if r.now.After(p.heardAt) {
 		p.heardAt = r.now
 	}
+	p.plansReachable = e.Digest.LogKnown
 	p.reachable()
 	if !e.Digest.Load.IsZero() {
 		p.reported(e.Digest.Load, r.now, 0)
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -54,6 +54,9 @@
 	// ReportNear is the shortest time between two load reports to the own region;
 	// zero sends none.
 	ReportNear time.Duration
+	// ReportsPerSecond bounds the load reports that the node sends to its own region in
+	// a second, one to each peer; zero sets no bound.
+	ReportsPerSecond int
 	// ReportFar is the time between two load reports to other regions.
 	ReportFar time.Duration
 	// SharedRetries is the fixed number of retries that all entries together may send
@@ -61,6 +64,9 @@
 	SharedRetries int
 	// SharedRetryWindow is the window of SharedRetries.
 	SharedRetryWindow time.Duration
+	// PlanWatchers is how many nodes of each region wait for plans at the store; the
+	// others learn of them from their peers.
+	PlanWatchers int
 	// StopLinger is how long a stopping node goes on serving its callers before it
 	// exits, so that those who send it work learn of the stop.
 	StopLinger time.Duration
@@ -97,6 +103,8 @@
 		CrossRegionBudget: 50 << 20,
 		MaxEjectedShare:   0.34,
 		ReportFar:         time.Second,
+		ReportsPerSecond:  250,
+		PlanWatchers:      2,
 		SharedRetries:     64,
 		SharedRetryWindow: 10 * time.Second,
 		StopLinger:        time.Second,
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -117,6 +117,9 @@
 	if e.Service != "" {
 		h[peer.HeaderService] = []string{e.Service}
 	}
+	if e.RequestID != "" {
+		h[peer.HeaderRequest] = []string{e.RequestID}
+	}
 	if !e.Objective.IsZero() {
 		h[peer.HeaderObjective] = []string{e.Objective.Sub(x.entry.Loop.Clock()).String()}
 	}
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -99,7 +99,7 @@
 		Length: reducer.Length(h.Get(peer.HeaderLength)), Keyed: h.Get(peer.HeaderKeyed) != "",
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
 		Replay: h.Get(peer.HeaderReplay) != "", Impatient: h.Get(peer.HeaderImpatient) != "",
-		Objective: g.objective(h),
+		Objective: g.objective(h), RequestID: h.Get(peer.HeaderRequest),
 	}, true
 }
 
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -5,10 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
 const (
@@ -19,8 +18,6 @@
 	// freshIdleTime is how long a connection may have been idle for a request that
 	// must run at most once: a server may have forgotten one that idled for longer.
 	freshIdleTime = 500 * time.Millisecond
-	// silentTime is how long sent bytes may stay unacknowledged.
-	silentTime = 800 * time.Millisecond
 )
 
 // pool keeps connections to the upstream. Unlike http.Transport it owns what comes
@@ -57,7 +54,7 @@
 	if c := p.takeIdle(address, allowed); c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: limitSilence}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: peer.LimitSilence}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release()
@@ -125,15 +122,3 @@
 	exchange := exchange{pool: p, address: req.URL.Host, idle: idleTime}
 	return exchange.run(req)
 }
-
-// limitSilence lets a connection fail when sent bytes stay unacknowledged.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -113,17 +114,49 @@
 
 // checkDeath finds out whether the upstream that broke a connection is gone.
 func (r *running) checkDeath() {
-	conn, err := net.DialTimeout("tcp", r.address, deathDialTimeout)
-	if err == nil {
-		_ = conn.Close()
+	linger := dyingTime
+	if r.guard.Protocol.Whole() {
+		// Final answers are not held up for an upstream that may be dying.
+		linger = 0
+	}
+	if !gone(r.address, linger) {
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		r.guard.Loop.Do(reducer.UpstreamDied{})
-		if !r.guard.Protocol.Whole() {
-			r.guard.awaitTold()
+	r.guard.Loop.Do(reducer.UpstreamDied{})
+	if !r.guard.Protocol.Whole() {
+		r.guard.awaitTold()
+	}
+}
+
+// dyingTime is how long the connections of a process that is being ended may outlive
+// the first of them that broke.
+const dyingTime = 30 * time.Millisecond
+
+// gone reports whether nobody listens at an address. A dying process may still accept a
+// connection: that one breaks, too, within the linger time.
+func gone(address string, linger time.Duration) bool {
+	deadline := time.Now().Add(linger)
+	for {
+		conn, err := net.DialTimeout("tcp", address, deathDialTimeout)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
 		}
+		broke := breaks(conn, deadline)
+		_ = conn.Close()
+		if !broke {
+			return false
+		}
+	}
+}
+
+// breaks reports whether a connection breaks before the deadline.
+func breaks(conn net.Conn, deadline time.Time) bool {
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return false
 	}
+	var one [1]byte
+	_, err := conn.Read(one[:])
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // awaitTold waits until the peers know of a crash, before its caller can send the
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -20,7 +20,11 @@
 	// firstListing and listingPeriod are the time between two readings of the directory,
 	// which grows while a fleet starts; members that it lacks introduce themselves.
 	firstListing  = time.Second
-	listingPeriod = 10 * time.Second
+	listingPeriod = time.Minute
+	// watchPeriod is how often a node looks whether it is to wait for plans, and
+	// unwatchedPeriod how often one that is not reads them all the same.
+	watchPeriod     = 200 * time.Millisecond
+	unwatchedPeriod = 15 * time.Second
 )
 
 // Directory is where members find each other.
@@ -90,11 +94,13 @@
 	dependency := n.dependency("plans")
 	retry := firstRetry
 	for ctx.Err() == nil {
+		n.awaitTurn(ctx)
 		err := n.Adapter.Plans.Watch(ctx, func(plan reducer.Plan) {
 			dependency.regained()
 			retry = firstRetry
 			n.loop.Do(reducer.PlanPublished{Plan: plan})
 		})
+		n.loop.Do(reducer.PlansReached{Reached: err == nil})
 		if err == nil {
 			dependency.regained()
 			retry = firstRetry
@@ -105,6 +111,29 @@
 	}
 }
 
+// awaitTurn waits until this node is one that waits for plans, or has not read them
+// for long.
+func (n *Node) awaitTurn(ctx context.Context) {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	read := time.NewTimer(unwatchedPeriod/2 + rand.N(unwatchedPeriod))
+	defer read.Stop()
+	for {
+		watches := false
+		n.loop.Inspect(func(r *reducer.Reducer) { watches = r.WatchesPlans() })
+		if watches {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-read.C:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // announceSelf names this node in the directory.
 func (n *Node) announceSelf(ctx context.Context) {
 	var self reducer.MemberSpec
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -52,6 +52,7 @@
 	entry    *caller.Entry
 	appender *stream.Appender
 	reports  *peer.Reports
+	decided  *decisions
 	stopping atomic.Bool
 	telling  atomic.Int64
 	control  peer.ByteCounter
@@ -99,6 +100,7 @@
 func (n *Node) assemble() error {
 	incarnation := rand.Uint64()
 	n.failures = make(chan error, 8)
+	n.decided = newDecisions(n.Logger)
 	n.loop = &loop.Loop{
 		Clock:  loop.NewSteadyClock().Now,
 		Period: n.tickPeriod(),
@@ -156,6 +158,8 @@
 // carryOut starts an effect that belongs to no call.
 func (n *Node) carryOut(ctx context.Context, effect reducer.Effect) {
 	switch e := effect.(type) {
+	case reducer.Decided:
+		n.decided.tell(e)
 	case reducer.TellLoad:
 		n.reports.Tell(e)
 	case reducer.AskPeer:
@@ -212,7 +216,7 @@
 		}
 	}
 	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded}
-	operators := &console.Server{Loop: n.loop, ControlBytes: n.control.Bytes}
+	operators := &console.Server{Loop: n.loop, ControlBytes: n.control.Bytes, Registry: n.decided.registry}
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -223,7 +227,7 @@
 		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
 		{n.Settings.Listen.Upstream, n.announcements(), nil},
 		{n.Settings.Listen.Ready, operators.Handler(), nil},
-		{n.Settings.Listen.Metrics, operators.Handler(), nil},
+		{n.Settings.Listen.Metrics, http.HandlerFunc(operators.WriteMetrics), nil},
 	}
 	if n.Adapter != nil {
 		listeners[4].handler = n.Adapter.Ready(n.ready)
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	controlTimeout  = 2 * time.Second
-	dialTimeout     = time.Second
+	controlTimeout = 2 * time.Second
+	// dialTimeout bounds a connection to a peer: several round trips between regions,
+	// but less than a lost opening packet takes to be sent again.
+	dialTimeout     = 250 * time.Millisecond
 	idleControlTime = 15 * time.Second
 	idleCallTime    = 60 * time.Second
 	// answerHeadBytes bounds the head of an answer.
@@ -55,7 +57,7 @@
 // transport returns a pool of connections. Short and long calls use pools of
 // their own, so that an upload's bytes never stand before a lookup's.
 func (c *Client) transport(idle time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: LimitSilence, KeepAliveConfig: peerKeepAlive}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		TLSClientConfig:        c.TLS,
--- a/internal/mesh/peer/headers.go
+++ b/internal/mesh/peer/headers.go
@@ -25,6 +25,7 @@
 	HeaderOutcome        = "Tanagerline-Outcome"
 	HeaderReason         = "Tanagerline-Reason"
 	HeaderReplay         = "Tanagerline-Replay"
+	HeaderRequest        = "Tanagerline-Request"
 	HeaderRetries        = "Tanagerline-Retries"
 	HeaderService        = "Tanagerline-Service"
 	HeaderTimeout        = "Tanagerline-Timeout"
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -56,15 +56,27 @@
 	if loaded.Adapter {
 		n.Adapter = c.adapter(loaded)
 	}
-	return n.Run(ctx)
+	err = n.Run(ctx)
+	if closer, ok := n.Logger.Writer.(io.Closer); ok {
+		// The last lines are written before the process ends.
+		_ = closer.Close()
+	}
+	return err
 }
 
-// newLogger returns a logger that writes one key=value line for each event.
+// logQueue is how many lines wait for a slow reader of the log before lines are dropped.
+const logQueue = 4096
+
+// newLogger returns a logger that writes one key=value line for each event without
+// waiting for its reader.
 func newLogger(w io.Writer) *log.Logger {
 	return &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer:     &log.ConsoleWriter{Writer: w, Formatter: formatEvent},
+		Writer: &log.AsyncWriter{
+			ChannelSize: logQueue, DiscardOnFull: true,
+			Writer: &log.ConsoleWriter{Writer: w, Formatter: formatEvent},
+		},
 	}
 }
 
--- a/internal/operator/console/server.go
+++ b/internal/operator/console/server.go
@@ -21,15 +21,19 @@
 	// ControlBytes tells the bytes of the control requests that the node made.
 	ControlBytes func() int64
 
+	// Registry holds what the node counts beside its totals; nil is an empty one.
+	Registry metrics.Registry
+
 	// metricsMu guards the totals while they are renewed and written.
 	metricsMu sync.Mutex
-	registry  metrics.Registry
 }
 
 // Handler returns the handler of the operators' listener.
 func (s *Server) Handler() http.Handler {
-	s.registry = metrics.NewRegistry()
-	metrics.RegisterRuntimeMemStats(s.registry)
+	if s.Registry == nil {
+		s.Registry = metrics.NewRegistry()
+	}
+	metrics.RegisterRuntimeMemStats(s.Registry)
 	twirpServer := NewConsoleServer(s)
 	router := mux.NewRouter()
 	router.HandleFunc("/-/healthz", s.health).Methods(http.MethodGet)
@@ -122,15 +126,26 @@
 
 // metrics writes the node's totals and the process's memory as JSON.
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	s.renew(func(registry metrics.Registry) { metrics.WriteJSONOnce(registry, w) })
+}
+
+// WriteMetrics answers a request with the same figures as lines of text.
+func (s *Server) WriteMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.renew(func(registry metrics.Registry) { metrics.WriteOnce(registry, w) })
+}
+
+// renew brings the figures up to date and writes them.
+func (s *Server) renew(write func(metrics.Registry)) {
 	var status reducer.Status
 	s.Loop.Inspect(func(r *reducer.Reducer) { status = r.Status() })
 	s.metricsMu.Lock()
 	defer s.metricsMu.Unlock()
-	fill(s.registry, status)
-	metrics.GetOrRegisterGauge("control.bytes", s.registry).Update(s.ControlBytes())
-	metrics.CaptureRuntimeMemStatsOnce(s.registry)
-	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(s.registry, w)
+	fill(s.Registry, status)
+	metrics.GetOrRegisterGauge("control.bytes", s.Registry).Update(s.ControlBytes())
+	metrics.CaptureRuntimeMemStatsOnce(s.Registry)
+	write(s.Registry)
 }
 
 // fill renews the node's totals and gauges.
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -190,6 +190,8 @@
 	s.SharedRetries = r.integer("retries", "shared", s.SharedRetries, 0, 1_000_000)
 	s.SharedRetryWindow = r.duration("retries", "shared_window", s.SharedRetryWindow, time.Second, time.Hour)
 	s.ReportNear = r.duration("reports", "near", s.ReportNear, 0, 10*time.Second)
+	s.ReportsPerSecond = r.integer("reports", "per_second", s.ReportsPerSecond, 0, 100_000)
+	s.PlanWatchers = r.integer("platform", "plan_watchers", s.PlanWatchers, 1, 10_000)
 	s.ReportFar = r.duration("reports", "far", s.ReportFar, 10*time.Millisecond, time.Minute)
 	s.StopLinger = r.duration("stop", "linger", s.StopLinger, 0, time.Hour)
 	s.ExchangePeriod = r.duration("peers", "exchange", s.ExchangePeriod, 20*time.Millisecond, time.Minute)
