--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -47,6 +47,15 @@
 	return base * time.Duration(a.currentPace(now)) / usualPace
 }
 
+// longest estimates the time of the route that takes longest at the present pace.
+func (a *admission) longest(now time.Time) time.Duration {
+	most := time.Duration(0)
+	for _, took := range a.times {
+		most = max(most, took)
+	}
+	return most * time.Duration(a.currentPace(now)) / usualPace
+}
+
 // currentPace returns the upstream's pace in percent.
 func (a *admission) currentPace(now time.Time) int {
 	if a.pace > 0 && now.Sub(a.paceAt) < freshPace {
@@ -134,7 +143,7 @@
 	if impatient {
 		return RefusalBusy
 	}
-	if g.running >= g.slots && a.expected(w, r.now)*lateWorth > a.mean {
+	if g.running >= g.slots && a.expected(w, r.now)*lateWorth > a.longest(r.now) {
 		return RefusalDeadline
 	}
 	if finish.Add(returnAllowance + r.lateAhead(w)).After(w.deadline) {
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -36,6 +36,9 @@
 				continue
 			}
 			score := r.completion(p) + r.jitter(tieTime)
+			if t == tierRegion && c.kind.kind.Length == LengthLong {
+				score += longWay
+			}
 			r.trace.consider(p, score, p.load(r.now))
 			if best == nil || score < bestScore {
 				best = p
@@ -49,6 +52,10 @@
 	return r.placeAbroad(c, s)
 }
 
+// longWay is how much later another availability zone may answer a long request and be
+// chosen all the same: long bodies between zones are paid for.
+const longWay = 60 * time.Millisecond
+
 // tieTime is the difference between completion times that a choice leaves to chance.
 const tieTime = 2 * time.Millisecond
 
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -103,7 +103,7 @@
 		CrossRegionBudget: 50 << 20,
 		MaxEjectedShare:   0.34,
 		ReportFar:         time.Second,
-		ReportsPerSecond:  250,
+		ReportsPerSecond:  150,
 		PlanWatchers:      2,
 		SharedRetries:     64,
 		SharedRetryWindow: 10 * time.Second,
