--- a/main_test.go
+++ b/internal/proof/scenario/main_test.go
@@ -1,4 +1,4 @@
-package main
+package scenario
 
 import (
 	"log"
@@ -31,7 +31,7 @@
 // TestScripts runs the scenarios.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata/scripts",
+		Dir:                 "../../../testdata/scripts",
 		Cmds:                scenarioCommands(),
 		Setup:               setUpScenario,
 		RequireExplicitExec: true,
--- a/scenario_test.go
+++ b/internal/proof/scenario/scenario_test.go
@@ -1,4 +1,4 @@
-package main
+package scenario
 
 import (
 	"errors"
