--- a/internal/decision/reducer/routed_test.go
+++ b/internal/decision/reducer/routed_test.go
@@ -112,8 +112,12 @@
 	c := qt.New(t)
 	n := newRoutedNode(true)
 	for _, test := range []struct{ host, path, want string }{
-		{routedHost, "/a/x", "lookup"}, {routedHost, "/a/b/x", "deep"}, {"DESK.example", "/a/b/", "deep"},
-		{routedHost, "/a", ""}, {routedHost, "/other/", ""}, {"other.example", "/a/x", ""},
+		{routedHost, "/a/x", "lookup"},
+		{routedHost, "/a/b/x", "deep"},
+		{"DESK.example", "/a/b/", "deep"},
+		{routedHost, "/a", ""},
+		{routedHost, "/other/", ""},
+		{"other.example", "/a/x", ""},
 	} {
 		found := n.routes.find(test.host, test.path)
 		got := ""
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,15 +97,14 @@
 	defer p.mu.Unlock()
 	c.idleSince = time.Now()
 	c.idleUntil = c.idleSince.Add(min(idleTime, c.keepAlive))
-	kept := p.idle[:0]
-	for _, o := range p.idle {
+	p.idle = slices.DeleteFunc(p.idle, func(o *connection) bool {
 		if c.idleSince.Before(o.idleUntil) {
-			kept = append(kept, o)
-			continue
+			return false
 		}
 		_ = o.conn.Close()
-	}
-	p.idle = append(kept, c)
+		return true
+	})
+	p.idle = append(p.idle, c)
 }
 
 // closeIdle closes the connections that are not in use.
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -380,8 +380,12 @@
 func (r *reader) distinct(l Listen) {
 	seen := map[string]string{}
 	listeners := []struct{ key, address string }{
-		{"callers", l.Callers}, {"peers", l.Peers}, {"operators", l.Operators}, {"upstream", l.Upstream},
-		{"ready", l.Ready}, {"metrics", l.Metrics},
+		{"callers", l.Callers},
+		{"peers", l.Peers},
+		{"operators", l.Operators},
+		{"upstream", l.Upstream},
+		{"ready", l.Ready},
+		{"metrics", l.Metrics},
 	}
 	for _, listener := range listeners {
 		if listener.address == "" {
