--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -8,7 +8,7 @@
 	maxTries = 5
 	// returnLeast and returnMost bound how soon a refused caller is asked to return.
 	returnLeast = 40 * time.Millisecond
-	returnMost  = 400 * time.Millisecond
+	returnMost  = 150 * time.Millisecond
 	// returnShare is the part of the time left after which callers come back anyway:
 	// one in so many.
 	returnShare = 3
--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -66,14 +67,16 @@
 window = 10s
 `
 
-// freeAddress returns a loopback address that is free for TCP and UDP.
+// freeAddress returns a loopback address that is free for TCP and UDP. It lies below the
+// ports that the kernel gives to connections, which could take it before it is used.
 func freeAddress(t *testing.T) string {
-	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	const firstPort, ports = 11_000, 20_000
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err == nil {
