--- /dev/null
+++ b/internal/decision/reducer/exchange.go
@@ -0,0 +1,154 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+func (r *Reducer) digest() Digest {
+	return Digest{
+		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset,
+		LogNext: r.log.next, LogKnown: r.log.known,
+		Members: len(r.members.peers), MembersHash: r.members.hash, Load: r.loadReport(),
+	}
+}
+
+// exchange asks one random peer for news.
+func (r *Reducer) exchange() {
+	if r.now.Before(r.members.exchangeDue) {
+		return
+	}
+	jitter := time.Duration(r.random.Int64N(int64(r.Settings.ExchangePeriod)))
+	r.members.exchangeDue = r.now.Add(r.Settings.ExchangePeriod/2 + jitter)
+	p := r.randomPeer()
+	switch {
+	case p != nil:
+		r.ask(p)
+	case len(r.Seeds) > 0:
+		seed := r.Seeds[r.random.IntN(len(r.Seeds))]
+		r.emit(AskPeer{Address: seed, Digest: r.digest(), Members: r.members.takeHot()})
+	}
+}
+
+// askForPlan asks a peer that shows a later plan, at most once in a while.
+func (r *Reducer) askForPlan(p *peer, offset int64) {
+	if offset <= r.inForce.offset || r.now.Before(r.members.planAskDue) || !r.worthTheWay(p, offset) {
+		return
+	}
+	r.members.planAskDue = r.now.Add(planAskPeriod)
+	r.ask(p)
+}
+
+// nearPlanTime is how long a plan that another region has is awaited from the own one:
+// plans are long, and bytes between regions are paid for.
+const nearPlanTime = 600 * time.Millisecond
+
+// worthTheWay reports whether a peer may be asked for the plan at offset now.
+func (r *Reducer) worthTheWay(p *peer, offset int64) bool {
+	if p.tier != tierOther || r.Settings.ReportNear <= 0 || r.inForce.offset == 0 {
+		return true
+	}
+	if r.members.farPlan < offset {
+		r.members.farPlan = offset
+		r.members.farPlanDue = r.now.Add(nearPlanTime)
+	}
+	return !r.now.Before(r.members.farPlanDue)
+}
+
+func (r *Reducer) ask(p *peer) {
+	r.emit(AskPeer{
+		Address: p.member.ID().Address(), Digest: r.digest(), Members: r.members.takeHot(),
+	})
+}
+
+// randomPeer returns a peer that may answer, or nil.
+func (r *Reducer) randomPeer() *peer {
+	others := len(r.members.order)
+	for range 4 {
+		if others == 0 {
+			return nil
+		}
+		p := r.members.order[r.random.IntN(others)]
+		if p.tier != tierSelf && !r.now.Before(p.avoidUntil) {
+			return p
+		}
+	}
+	return nil
+}
+
+// peerAsked answers a peer's exchange.
+func (r *Reducer) peerAsked(e PeerAsked) {
+	for _, m := range e.Members {
+		r.heardMember(m)
+	}
+	if p := r.members.peers[e.Digest.Address]; p != nil {
+		p.reachable()
+		r.askForPlan(p, e.Digest.PlanOffset)
+	}
+	reply := ExchangeReply{
+		Work: e.Work, Digest: r.digest(), Members: r.newsFor(e.Digest), Suspects: r.suspects.list(),
+	}
+	if r.inForce.offset > e.Digest.PlanOffset {
+		plan := r.inForce
+		reply.Plan = &plan
+	}
+	if !e.Digest.LogKnown && r.log.known {
+		if s, ok := r.log.snapshot(); ok {
+			reply.State = &s
+		}
+	}
+	r.emit(reply)
+}
+
+// newsFor returns the announcements that a peer with this digest may lack.
+func (r *Reducer) newsFor(d Digest) []Member {
+	if d.Members*2 <= len(r.members.peers) {
+		return r.allMembers()
+	}
+	members := r.members.takeHot()
+	if d.MembersHash == r.members.hash {
+		return members
+	}
+	for range min(randomMembersInSync, len(r.members.order)) {
+		p := r.members.order[r.random.IntN(len(r.members.order))]
+		members = append(members, p.member)
+	}
+	return members
+}
+
+func (r *Reducer) allMembers() []Member {
+	members := make([]Member, 0, len(r.members.order))
+	for _, p := range r.members.order {
+		members = append(members, p.member)
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Compare(a.ID().Address(), b.ID().Address())
+	})
+	return members
+}
+
+// peerHeard takes what a peer told.
+func (r *Reducer) peerHeard(e PeerHeard) {
+	for _, m := range e.Members {
+		r.heardMember(m)
+	}
+	for _, s := range e.Suspects {
+		r.suspectHeard(s)
+	}
+	if e.State != nil && r.log.restore(*e.State) {
+		r.logAdvanced()
+	}
+	if e.Plan != nil {
+		r.adopt(*e.Plan)
+	}
+	p := r.members.peers[e.From]
+	if p == nil {
+		return
+	}
+	p.reachable()
+	if !e.Digest.Load.IsZero() {
+		p.reported(e.Digest.Load, r.now, r.Settings.ReportPeriod)
+	}
+	r.askForPlan(p, e.Digest.PlanOffset)
+}
--- /dev/null
+++ b/internal/decision/reducer/upstream.go
@@ -0,0 +1,36 @@
+package reducer
+
+// upstreamAnnounced takes the upstream's word about itself.
+func (r *Reducer) upstreamAnnounced(e UpstreamAnnounced) {
+	g := &r.guard
+	fresh := g.service != e.Service || g.upstream != e.Address || g.instance != e.Instance || g.dead
+	if fresh {
+		g.announced = r.now
+		g.shortTime = 0
+		g.longTime = 0
+		g.admission.pace = 0
+		g.admission.failures = 0
+	}
+	changed := fresh || g.slots != e.Slots || g.draining != e.Draining
+	g.service = e.Service
+	g.upstream = e.Address
+	g.instance = e.Instance
+	g.slots = e.Slots
+	g.draining = e.Draining
+	g.dead = false
+	g.answeredAt = r.now
+	if changed {
+		r.announceSelf()
+	}
+	r.refuseQueueWhenLeaving()
+	r.startWork()
+}
+
+// leaving reports whether the upstream takes no new work.
+func (r *Reducer) leaving() bool {
+	if r.stopping || r.guard.draining {
+		return true
+	}
+	s := r.index[r.guard.service]
+	return s != nil && s.plan.excludes(r.guard.upstream)
+}
--- a/internal/mesh/peer/peer.twirp.go
+++ b/internal/mesh/peer/peer.twirp.go
@@ -3,23 +3,36 @@
 
 package peer
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
--- a/internal/store/stream/log.go
+++ b/internal/store/stream/log.go
@@ -105,18 +105,24 @@
 }
 
 func (c *Client) do(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	return Call(ctx, c.HTTP, method, target, body)
+}
+
+// Call sends one request to a store and returns its answer's body, or a StatusError for
+// an answer that is not a success.
+func Call(ctx context.Context, client *http.Client, method, target string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, oops.Wrapf(err, "log %s", target)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		return nil, oops.Wrapf(err, "log %s", c.Base)
+		return nil, oops.Wrapf(err, "log %s", req.URL.Host)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
 	if err != nil {
-		return nil, oops.Wrapf(err, "log %s: the answer broke off", c.Base)
+		return nil, oops.Wrapf(err, "log %s: the answer broke off", req.URL.Host)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, StatusError{URL: target, Status: resp.StatusCode}
