--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -17,8 +17,8 @@
 	requestID string
 	// sends counts the attempts that may have reached an upstream.
 	sends int
-	// abroad tells that an upstream of another region was tried.
-	abroad      bool
+	// leftRegion tells that an upstream of another region was tried.
+	leftRegion  bool
 	key         string
 	keyGiven    bool
 	keyed       bool
@@ -146,7 +146,7 @@
 	}
 	c.attempt = a
 	c.tried = append(c.tried, p)
-	c.abroad = c.abroad || p.tier == tierOther
+	c.leftRegion = c.leftRegion || p.tier == tierOther
 	p.begin(a.length, r.now)
 	if c.memory != nil {
 		c.memory.attempt = a.id
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -293,6 +293,9 @@
 	// SuspectHeard is a peer's word of a request that crashes upstreams.
 	SuspectHeard struct{ Suspect Suspect }
 
+	// SettingsChanged brings new limits and intervals.
+	SettingsChanged struct{ Settings Settings }
+
 	// StopRequested begins a graceful stop.
 	StopRequested struct{}
 
@@ -337,5 +340,6 @@
 func (AnswersOffered) event()    {}
 func (AnswersTaken) event()      {}
 func (SuspectHeard) event()      {}
+func (SettingsChanged) event()   {}
 func (StopRequested) event()     {}
 func (Tick) event()              {}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -35,7 +35,9 @@
 	LogKnown    bool
 	Members     int
 	MembersHash uint64
-	Load        LoadReport
+	// PlansReachable tells that the place where plans are published answers the node.
+	PlansReachable bool
+	Load           LoadReport
 }
 
 // membership is what the node knows of the other nodes.
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -49,7 +49,7 @@
 	if best != nil {
 		return best
 	}
-	return r.placeAbroad(c, s)
+	return r.placeInOtherRegion(c, s)
 }
 
 // longWay is how much later another availability zone may answer a long request and be
@@ -59,10 +59,10 @@
 // tieTime is the difference between completion times that a choice leaves to chance.
 const tieTime = 2 * time.Millisecond
 
-// placeAbroad picks an upstream of another region, or nil. Once the own region has
+// placeInOtherRegion picks an upstream of another region, or nil. Once the own region has
 // refused a call, only an upstream that seems to have room is worth the way.
-func (r *Reducer) placeAbroad(c *call, s *servicePeers) *peer {
-	if c.abroad || (c.kind.kind.Length == LengthLong && len(c.tried) > 0) {
+func (r *Reducer) placeInOtherRegion(c *call, s *servicePeers) *peer {
+	if c.leftRegion || (c.kind.kind.Length == LengthLong && len(c.tried) > 0) {
 		return nil
 	}
 	var best *peer
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -214,6 +214,8 @@
 		r.answersTaken(e)
 	case SuspectHeard:
 		r.suspectHeard(e.Suspect)
+	case SettingsChanged:
+		r.Settings = e.Settings
 	case StopRequested:
 		r.stopRequested()
 	case Tick:
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -102,7 +102,7 @@
 func (r *Reducer) loadDigest() Digest {
 	return Digest{
 		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.inForce.offset, Load: r.loadReport(),
-		LogKnown: r.plansReachable,
+		PlansReachable: r.plansReachable,
 	}
 }
 
@@ -123,7 +123,7 @@
 	if r.now.After(p.heardAt) {
 		p.heardAt = r.now
 	}
-	p.plansReachable = e.Digest.LogKnown
+	p.plansReachable = e.Digest.PlansReachable
 	p.reachable()
 	if !e.Digest.Load.IsZero() {
 		p.reported(e.Digest.Load, r.now, 0)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -26,8 +26,9 @@
 	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
-// closeAllowance bounds the closing of listeners after a stop.
-const closeAllowance = 5 * time.Second
+// closeAllowance bounds the closing of listeners after a stop: what was in flight has
+// ended, and connections that never carried a request are not waited for.
+const closeAllowance = 500 * time.Millisecond
 
 // Node is one process beside an upstream; its exported fields are set before Run.
 type Node struct {
--- a/internal/mesh/node/reload.go
+++ b/internal/mesh/node/reload.go
@@ -60,7 +60,7 @@
 		n.Logger.Warn().Str("event", "reload-refused").Str("file", n.SettingsFile).Err(err).Msgs()
 		return
 	}
-	n.loop.Inspect(func(r *reducer.Reducer) { r.Settings = loaded.Decisions })
+	n.loop.Do(reducer.SettingsChanged{Settings: loaded.Decisions})
 	restart := loaded
 	restart.Decisions = n.Settings.Decisions
 	n.Logger.Info().Str("event", "reloaded").Str("file", n.SettingsFile).
