--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -27,8 +27,8 @@
 )
 
 // closeAllowance bounds the closing of listeners after a stop: what was in flight has
-// ended, and connections that never carried a request are not waited for.
-const closeAllowance = 500 * time.Millisecond
+// ended, but its last bytes may still be on their way.
+const closeAllowance = 3 * time.Second
 
 // Node is one process beside an upstream; its exported fields are set before Run.
 type Node struct {
@@ -58,6 +58,7 @@
 	telling  atomic.Int64
 	control  peer.ByteCounter
 	servers  []*http.Server
+	unused   unusedConnections
 	failures chan error
 	work     sync.WaitGroup
 }
@@ -272,7 +273,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: n.Settings.Limits.HeaderTime,
 		IdleTimeout: n.Settings.Limits.IdleTime, MaxHeaderBytes: n.Settings.Limits.HeaderBytes,
-		ErrorLog: n.Logger.Std("", 0),
+		ErrorLog: n.Logger.Std("", 0), ConnState: n.unused.note,
 	}
 	n.servers = append(n.servers, server)
 	n.work.Go(func() {
@@ -287,6 +288,7 @@
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeAllowance)
 	defer cancel()
+	n.unused.closeAll()
 	for _, server := range n.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
