--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -279,18 +279,10 @@
 	if w.objective.IsZero() {
 		return
 	}
-	switch e.Outcome {
-	case OutcomeRan:
-		failed := e.Status >= 500
-		a.note(failed, r.now)
-		if !failed {
-			a.sample(w, r.now.Sub(w.started))
-		}
-	case OutcomeNotRun:
-		// The upstream turned the attempt away though a slot seemed free.
-		a.note(true, r.now)
-	default:
-		a.note(true, r.now)
+	failed := e.Outcome != OutcomeRan || e.Status >= 500
+	a.note(failed, r.now)
+	if !failed {
+		a.sample(w, r.now.Sub(w.started))
 	}
 }
 
--- a/internal/edge/upstream/protocol.go
+++ b/internal/edge/upstream/protocol.go
@@ -38,7 +38,8 @@
 	Belongs(resp *http.Response, req *http.Request) bool
 	// Judge returns what the answer's head says.
 	Judge(resp *http.Response) Verdict
-	// Whole reports whether answers are passed on only once they are complete.
+	// Whole reports whether answers are passed on only once they are complete, and then
+	// at once: nothing else is waited for.
 	Whole() bool
 }
 
