--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -7,8 +7,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
 const (
@@ -55,7 +53,7 @@
 	if c := p.takeIdle(address, allowed); c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: peer.LimitSilence}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release()
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -46,18 +46,19 @@
 	if c.TLS != nil {
 		c.scheme = "https"
 	}
-	control := c.transport(idleControlTime)
+	control := c.transport(idleControlTime, limitSilence)
 	control.MaxIdleConnsPerHost = 1
 	control.DialContext = c.Counter.Dial
 	c.control = &http.Client{Transport: control, Timeout: controlTimeout}
-	c.short = c.transport(idleCallTime)
-	c.long = c.transport(idleCallTime)
+	c.short = c.transport(idleCallTime, limitSilence)
+	// A receiver that does not read a long body yet looks silent to the sender.
+	c.long = c.transport(idleCallTime, nil)
 }
 
 // transport returns a pool of connections. Short and long calls use pools of
 // their own, so that an upload's bytes never stand before a lookup's.
-func (c *Client) transport(idle time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: LimitSilence, KeepAliveConfig: peerKeepAlive}
+func (c *Client) transport(idle time.Duration, control socketControl) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: control, KeepAliveConfig: peerKeepAlive}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		TLSClientConfig:        c.TLS,
