--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -227,14 +227,13 @@
 		a.late = append(a.late, a.inTime[0])
 		a.inTime = slices.Delete(a.inTime, 0, 1)
 	}
-	r.expireLate()
+	r.refuseHopeless(slices.Clone(a.late))
 }
 
-// expireLate refuses the late attempts that can't be answered by their deadline.
-func (r *Reducer) expireLate() {
-	a := &r.guard.admission
-	for _, w := range slices.Clone(a.late) {
-		if !r.now.Add(a.expected(w, r.now)).Before(w.deadline) {
+// refuseHopeless refuses those attempts that can't be answered by their deadline.
+func (r *Reducer) refuseHopeless(waiting []*work) {
+	for _, w := range waiting {
+		if !r.now.Add(r.guard.admission.expected(w, r.now)).Before(w.deadline) {
 			r.dropQueued(w, RefusalDeadline)
 		}
 	}
@@ -254,11 +253,7 @@
 // expireAdmitted refuses the attempts that can't be answered any more.
 func (r *Reducer) expireAdmitted() {
 	a := &r.guard.admission
-	for _, w := range slices.Concat(a.inTime, a.late) {
-		if !r.now.Add(a.expected(w, r.now)).Before(w.deadline) {
-			r.dropQueued(w, RefusalDeadline)
-		}
-	}
+	r.refuseHopeless(slices.Concat(a.inTime, a.late))
 }
 
 // refuseAdmitted gives every waiting attempt back, so that it can run elsewhere.
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -28,7 +28,6 @@
 	DecidedPlan        DecisionKind = "plan-in-force"
 	DecidedUpstream    DecisionKind = "upstream-changed"
 	DecidedMember      DecisionKind = "member-changed"
-	DecidedSilent      DecisionKind = "member-silent"
 	DecidedQuarantined DecisionKind = "request-suspected"
 )
 
@@ -66,7 +65,7 @@
 // TouchesRequest reports whether the decision is about one request.
 func (d Decided) TouchesRequest() bool {
 	switch d.Kind {
-	case DecidedPlan, DecidedUpstream, DecidedMember, DecidedSilent, DecidedQuarantined:
+	case DecidedPlan, DecidedUpstream, DecidedMember, DecidedQuarantined:
 		return false
 	default:
 		return true
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -52,8 +52,6 @@
 		Routed bool
 		Host   string
 		Path   string
-		// BodyBytes is the length of the request's body, or negative when unknown.
-		BodyBytes int64
 	}
 
 	// AttemptAnswered is the head of an answer that carries the attempt's ID.
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -171,7 +170,8 @@
 	}
 	switch reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)) {
 	case reducer.OutcomeRan:
-		if x.entry.Protocol.Whole() && !x.buffer(resp) {
+		if x.entry.Protocol.Whole() && peer.ReadWhole(resp) != nil {
+			// What broke off may be had again: the caller has seen nothing of it.
 			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.spent()})
 			return
 		}
@@ -197,19 +197,6 @@
 	}
 }
 
-// buffer reads an answer to its end and reports whether it came whole: one that broke
-// off may be had again, as long as the caller has seen nothing of it.
-func (x *exchange) buffer(resp *http.Response) bool {
-	body, err := io.ReadAll(resp.Body)
-	_ = resp.Body.Close()
-	if err != nil {
-		return false
-	}
-	resp.Body = io.NopCloser(bytes.NewReader(body))
-	resp.ContentLength = int64(len(body))
-	return true
-}
-
 // drain reads a short answer to its end, so that its connection can be used again.
 func drain(resp *http.Response) {
 	const maxDrainedBytes = 4 << 10
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -22,8 +22,6 @@
 	tellPoll         = 2 * time.Millisecond
 	// maxStoredAnswerBytes bounds one answer that is kept for resends.
 	maxStoredAnswerBytes = 64 << 10
-	// maxWholeAnswerBytes bounds an answer that is kept until it is complete.
-	maxWholeAnswerBytes = 16 << 20
 )
 
 // Guard runs attempts on the upstream of this VM; its exported fields are set
@@ -170,7 +168,7 @@
 		return g.doubtful(req, arrived.Attempt), nil
 	}
 	if g.Protocol.Whole() {
-		if err := readWhole(resp); err != nil {
+		if err := peer.ReadWhole(resp); err != nil {
 			return r.failed(ctx, req, err)
 		}
 	}
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -17,26 +17,6 @@
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
-// errAnswerTooLong is an answer that does not fit into the node's memory.
-var errAnswerTooLong = errors.New("the upstream's answer is longer than a node keeps whole")
-
-// readWhole reads the answer's body to its end, so that an answer that breaks off is
-// never passed on as if it were complete.
-func readWhole(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswerBytes+1))
-	_ = resp.Body.Close()
-	if err != nil {
-		return err
-	}
-	if len(body) > maxWholeAnswerBytes {
-		return errAnswerTooLong
-	}
-	resp.Body = io.NopCloser(bytes.NewReader(body))
-	resp.ContentLength = int64(len(body))
-	resp.TransferEncoding = nil
-	return nil
-}
-
 // running is an attempt on the upstream and the body of its answer.
 type running struct {
 	guard     *Guard
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -228,12 +228,9 @@
 		{n.Settings.Listen.Peers, peers.Handler(), serverTLS},
 		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
 		{n.Settings.Listen.Upstream, n.announcements(), nil},
-		{n.Settings.Listen.Ready, operators.Handler(), nil},
+		{n.Settings.Listen.Ready, n.readiness(operators), nil},
 		{n.Settings.Listen.Metrics, http.HandlerFunc(operators.WriteMetrics), nil},
 	}
-	if n.Adapter != nil {
-		listeners[4].handler = n.Adapter.Ready(n.ready)
-	}
 	for _, l := range listeners {
 		if l.address == "" {
 			continue
@@ -254,6 +251,14 @@
 	return own.Handler()
 }
 
+// readiness returns the handler of the platform's question for readiness.
+func (n *Node) readiness(operators *console.Server) http.Handler {
+	if n.Adapter != nil {
+		return n.Adapter.Ready(n.ready)
+	}
+	return operators.Handler()
+}
+
 // ready reports whether callers may be sent to this node.
 func (n *Node) ready() bool {
 	known := false
