Take long bodies in turn, after admission, by the rate of the VM's link

Cause: on the grown sites uploads meet at links of 10 and 14 Mbit/s.

A body of more than 16 KB is sent once the guard asks for it; the guard asks after admission and before a slot is free, for as much as its link carries in 40 ms.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -135,7 +135,7 @@
 func (r *Reducer) admit(w *work, impatient bool) RefusalReason {
 	g := &r.guard
 	a := &g.admission
-	finish := r.now.Add(r.waitFor(w) + a.expected(w, r.now))
+	finish := r.now.Add(max(r.waitFor(w), r.intakeWait(w)) + a.expected(w, r.now))
 	if !finish.Add(returnAllowance).After(w.objective) {
 		a.push(w, r.now)
 		return ""
@@ -201,21 +201,20 @@
 func (r *Reducer) nextAdmitted() *work {
 	a := &r.guard.admission
 	r.sortOut()
-	late := a.shortestLate(r.now)
-	if len(a.inTime) == 0 {
-		if late != nil {
-			a.remove(late)
-		}
-		return late
+	next := a.shortestLate(r.now)
+	at := slices.IndexFunc(a.inTime, startable)
+	if at >= 0 && (next == nil || a.expected(next, r.now)*lateWorth >= a.expected(a.inTime[at], r.now)) {
+		next = a.inTime[at]
 	}
-	first := a.inTime[0]
-	if late != nil && a.expected(late, r.now)*lateWorth < a.expected(first, r.now) {
-		first = late
+	if next != nil {
+		a.remove(next)
 	}
-	a.remove(first)
-	return first
+	return next
 }
 
+// startable reports whether an attempt has all that it needs but a slot.
+func startable(w *work) bool { return w.body == bodyHere }
+
 // lateWorth is how much more a timely answer is worth than a late one.
 const lateWorth = 3
 
@@ -243,6 +242,9 @@
 func (a *admission) shortestLate(now time.Time) *work {
 	var shortest *work
 	for _, w := range a.late {
+		if !startable(w) {
+			continue
+		}
 		if shortest == nil || a.expected(w, now) < a.expected(shortest, now) {
 			shortest = w
 		}
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -154,6 +154,9 @@
 		Instance string
 	}
 
+	// TakeBody asks for the body of an attempt that waits for a slot.
+	TakeBody struct{ Work WorkID }
+
 	// RefuseWork answers an attempt that will never run.
 	RefuseWork struct {
 		Work   WorkID
@@ -245,6 +248,7 @@
 func (CancelCall) effect()    {}
 func (KeysIssued) effect()    {}
 func (StartWork) effect()     {}
+func (TakeBody) effect()      {}
 func (RefuseWork) effect()    {}
 func (ReplayWork) effect()    {}
 func (SettleReply) effect()   {}
@@ -284,6 +288,9 @@
 // ForWork returns the work that the effect is for.
 func (e StartWork) ForWork() WorkID { return e.Work }
 
+// ForWork returns the work that the effect is for.
+func (e TakeBody) ForWork() WorkID { return e.Work }
+
 // ForWork returns the work that the effect is for.
 func (e RefuseWork) ForWork() WorkID { return e.Work }
 
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -160,8 +160,13 @@
 		Objective time.Time
 		// RequestID names the caller's request in logs, or is empty.
 		RequestID string
+		// BodyBytes is the length of a body that is sent once it is asked for, or zero.
+		BodyBytes int64
 	}
 
+	// BodyTaken is the end of the body that TakeBody asked for.
+	BodyTaken struct{ Work WorkID }
+
 	// WorkEnded is the end of a started attempt.
 	WorkEnded struct {
 		Work    WorkID
@@ -316,6 +321,7 @@
 func (KeysRequested) event()     {}
 func (WorkArrived) event()       {}
 func (WorkEnded) event()         {}
+func (BodyTaken) event()         {}
 func (WorkLeft) event()          {}
 func (SettleAsked) event()       {}
 func (UpstreamAnnounced) event() {}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -33,6 +33,7 @@
 	// instance names the upstream's run, or is empty.
 	instance  string
 	admission admission
+	intake    intake
 }
 
 func (g *guard) init() { g.works = map[WorkID]*work{} }
@@ -111,6 +112,10 @@
 	}
 	if !e.Objective.IsZero() {
 		w.objectiveTime = max(0, e.Objective.Sub(r.now))
+		if e.BodyBytes > 0 {
+			w.bodyBytes = e.BodyBytes
+			w.body = bodyWaiting
+		}
 	}
 	if s := r.index[e.Service]; s != nil && s.kinds[e.Kind] != nil {
 		w.weight = s.kinds[e.Kind].kind.Weight
@@ -220,6 +225,7 @@
 func (r *Reducer) dropQueued(w *work, reason RefusalReason) {
 	r.guard.queueOf(w.length).remove(w)
 	r.guard.admission.remove(w)
+	r.guard.intake.release(w)
 	delete(r.guard.works, w.id)
 	r.closeUnstarted(w)
 	r.refuseWork(w, reason)
@@ -243,6 +249,7 @@
 	if g.dead || r.leaving() {
 		return
 	}
+	r.takeBodies()
 	for g.running < g.openSlots(r.now, r.Settings.Warmup) {
 		if g.running >= r.usableSlots() && g.admission.waiting() > 0 {
 			return
@@ -285,6 +292,7 @@
 
 func (r *Reducer) start(w *work) {
 	g := &r.guard
+	g.intake.release(w)
 	w.running = true
 	w.started = r.now
 	w.startPace = g.admission.currentPace(r.now)
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -26,6 +26,11 @@
 	// startPace is the upstream's pace when the attempt started, in percent.
 	startPace int
 	started   time.Time
+	// bodyBytes and body are about a body that is sent once it is asked for, and bodyAt
+	// is when that was.
+	bodyBytes int64
+	body      bodyState
+	bodyAt    time.Time
 	// joins is the attempt whose answer this resend waits for.
 	joins AttemptID
 }
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -92,7 +92,7 @@
 	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
-	case WorkArrived, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamDied, UpstreamReplaced, ProbeEnded:
+	case WorkArrived, BodyTaken, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamDied, UpstreamReplaced, ProbeEnded:
 		r.stepGuard(e)
 	default:
 		r.stepMember(e)
@@ -163,6 +163,8 @@
 	switch e := event.(type) {
 	case WorkArrived:
 		r.workArrived(e)
+	case BodyTaken:
+		r.bodyTaken(e)
 	case WorkEnded:
 		r.workEnded(e)
 	case WorkLeft:
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -16,6 +16,8 @@
 	// UsableShare is the share of an upstream's slots that attempts with an objective
 	// hold: many servers slow down when they are nearly full.
 	UsableShare float64
+	// LinkRate is how many bytes the VM's link carries in a second; zero is unknown.
+	LinkRate int64
 	// QueuePerSlot bounds the guard's queue.
 	QueuePerSlot int
 	// Warmup is how long a new upstream takes to open all its slots.
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -13,6 +13,10 @@
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
+// promptBytes is the longest body that is sent without being asked for: below it, a round
+// trip costs more than a body that is sent in vain.
+const promptBytes = 16 << 10
+
 // settler asks guards about doubtful attempts.
 type settler interface {
 	// Settle returns the outcome of an attempt, or unknown without an answer.
@@ -227,7 +231,7 @@
 	}
 	h := out.Header
 	delete(h, "Expect")
-	if !x.body.whole {
+	if !x.body.whole || (x.body.length > promptBytes && target != x.entry.Self) {
 		// The guard decides before the body is sent, so a refusal costs no body.
 		h["Expect"] = []string{"100-continue"}
 	}
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -20,6 +19,9 @@
 	answerHeadBytes  = 64 << 10
 	tellAllowance    = time.Second
 	tellPoll         = 2 * time.Millisecond
+	// maxTakenBody is the longest body that is read before its attempt starts: the most
+	// that entries keep for another attempt.
+	maxTakenBody = 1 << 20
 	// maxStoredAnswerBytes bounds one answer that is kept for resends.
 	maxStoredAnswerBytes = 64 << 10
 )
@@ -64,7 +66,7 @@
 	}
 	g.Loop.Do(arrived)
 	arrivedAt := g.Loop.Clock()
-	effect := g.await(req.Context(), mailbox, arrived.Deadline)
+	effect := g.await(req, mailbox, arrived.Deadline)
 	switch e := effect.(type) {
 	case reducer.StartWork:
 		waited := g.Loop.Clock().Sub(arrivedAt)
@@ -97,10 +99,19 @@
 		Length: reducer.Length(h.Get(peer.HeaderLength)), Keyed: h.Get(peer.HeaderKeyed) != "",
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
 		Replay: h.Get(peer.HeaderReplay) != "", Impatient: h.Get(peer.HeaderImpatient) != "",
-		Objective: g.objective(h), RequestID: h.Get(peer.HeaderRequest),
+		Objective: g.objective(h), RequestID: h.Get(peer.HeaderRequest), BodyBytes: g.bodyBytes(req),
 	}, true
 }
 
+// bodyBytes is the length of a body that is sent once it is asked for and that fits into
+// memory, or zero.
+func (g *Guard) bodyBytes(req *http.Request) int64 {
+	if !g.Protocol.Whole() || req.Header.Get("Expect") == "" || req.ContentLength > maxTakenBody {
+		return 0
+	}
+	return max(0, req.ContentLength)
+}
+
 // objective returns when an answer loses most of its worth, or zero.
 func (g *Guard) objective(h http.Header) time.Time {
 	remaining, err := time.ParseDuration(h.Get(peer.HeaderObjective))
@@ -111,24 +122,46 @@
 	return g.Loop.Clock().Add(remaining)
 }
 
-// await returns the decision on an attempt. When the requester leaves or the
-// deadline passes first, the attempt is taken back; a decision that was already
-// made still counts.
-func (g *Guard) await(ctx context.Context, mailbox *loop.WorkMailbox, deadline time.Time) reducer.WorkEffect {
-	select {
-	case effect := <-mailbox.Effects():
-		return effect
-	default:
-	}
+// await returns the decision on an attempt, and reads its body when that is asked for.
+// When the requester leaves or the deadline passes first, the attempt is taken back; a
+// decision that was already made still counts.
+func (g *Guard) await(req *http.Request, mailbox *loop.WorkMailbox, deadline time.Time) reducer.WorkEffect {
+	effect := next(mailbox)
 	timer := time.NewTimer(deadline.Sub(g.Loop.Clock()))
 	defer timer.Stop()
-	select {
-	case effect := <-mailbox.Effects():
-		return effect
-	case <-ctx.Done():
-	case <-timer.C:
+	var body chan error
+	for waiting := true; waiting; {
+		if _, wanted := effect.(reducer.TakeBody); wanted {
+			body = takeBody(req)
+		} else if effect != nil {
+			return effect
+		}
+		select {
+		case effect = <-mailbox.Effects():
+		case err := <-body:
+			body = nil
+			effect = nil
+			waiting = err == nil
+			if waiting {
+				g.Loop.Do(reducer.BodyTaken{Work: mailbox.ID()})
+			}
+		case <-req.Context().Done():
+			waiting = false
+		case <-timer.C:
+			waiting = false
+		}
 	}
 	g.Loop.Do(reducer.WorkLeft{Work: mailbox.ID()})
+	for {
+		effect = next(mailbox)
+		if _, wanted := effect.(reducer.TakeBody); !wanted {
+			return effect
+		}
+	}
+}
+
+// next returns the decision that was already made, or nil.
+func next(mailbox *loop.WorkMailbox) reducer.WorkEffect {
 	select {
 	case effect := <-mailbox.Effects():
 		return effect
@@ -137,6 +170,21 @@
 	}
 }
 
+// takeBody reads a request's body into memory and tells when that is done.
+func takeBody(req *http.Request) chan error {
+	done := make(chan error, 1)
+	body := req.Body
+	go func() {
+		data := make([]byte, req.ContentLength)
+		_, err := io.ReadFull(body, data)
+		if err == nil {
+			req.Body = io.NopCloser(bytes.NewReader(data))
+		}
+		done <- err
+	}()
+	return done
+}
+
 // run sends a started attempt to the upstream.
 func (g *Guard) run(
 	req *http.Request, mailbox *loop.WorkMailbox, arrived reducer.WorkArrived, start reducer.StartWork,
--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -135,6 +135,19 @@
 	return n
 }
 
+func (r *reader) number(section, key string, otherwise, least, most float64) float64 {
+	value := r.text(section, key)
+	if value == "" {
+		return otherwise
+	}
+	f, err := r.file.Section(section).Key(key).Float64()
+	if err != nil || f < least || f > most {
+		r.problem(section, key, fmt.Sprintf("%q is no number from %v to %v", value, least, most))
+		return otherwise
+	}
+	return f
+}
+
 func (r *reader) share(section, key string, otherwise float64) float64 {
 	value := r.text(section, key)
 	if value == "" {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -175,6 +175,7 @@
 	s.CrossRegionBudget = int64(r.integer("routing", "cross_region_bytes_per_second", int(s.CrossRegionBudget), 0, 1<<40))
 	s.ShortReserve = r.share("admission", "short_reserve", s.ShortReserve)
 	s.UsableShare = r.share("admission", "usable_share", s.UsableShare)
+	s.LinkRate = int64(r.number("admission", "link_megabits", 0, 0, 1e6) * bytesPerMegabit)
 	s.QueuePerSlot = r.integer("admission", "queue_per_slot", s.QueuePerSlot, 0, 1024)
 	s.Warmup = r.duration("admission", "warmup", s.Warmup, 0, time.Hour)
 	s.RetryShare = r.share("retries", "share", s.RetryShare)
@@ -204,6 +205,9 @@
 	return s
 }
 
+// bytesPerMegabit is how links are measured: 10^6 bits.
+const bytesPerMegabit = 1e6 / 8
+
 // AsProblems returns the faults that an error lists, if it is of that kind.
 func AsProblems(err error) (Problems, bool) {
 	var problems Problems
