Report to one node of each other region, which passes it on; ask another region after three refusals

Cause: every node told its load to every node of the other regions each second, 0.7 MB/s on 73 nodes, two thirds of all bytes between regions there.

--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -289,6 +289,9 @@
 
 	// LoadHeard is a peer's report of its load.
 	LoadHeard struct {
+		// From is the address that the report came from: the peer's own, or that of one
+		// that passed it on.
+		From    string
 		Digest  Digest
 		Members []Member
 	}
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -46,12 +46,19 @@
 			}
 		}
 	}
-	if best != nil {
+	if best != nil && len(c.tried) < nearTries {
 		return best
 	}
-	return r.placeInOtherRegion(c, s)
+	if far := r.placeInOtherRegion(c, s); far != nil {
+		return far
+	}
+	return best
 }
 
+// nearTries is how many guards of the own region are asked before one of another: each
+// costs a round trip, and the region's reports are some tens of milliseconds old.
+const nearTries = 3
+
 // longWay is how much later another availability zone may answer a long request and be
 // chosen all the same: long bodies between zones are paid for.
 const longWay = 60 * time.Millisecond
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// introductionTime is how long after a change the node's announcement travels
@@ -48,17 +51,81 @@
 		t.nearDue = r.now.Add(r.nearPeriod())
 		t.quietDue = r.now.Add(quietReport)
 		members := r.introduction()
-		r.tellLoad(members, func(p *peer) bool { return p.tier != tierOther })
+		r.tellLoad(members, func(p *peer) bool { return p.tier == tierZone || p.tier == tierRegion })
 	}
 	if !r.now.Before(t.farDue) {
 		t.farDue = r.now.Add(r.Settings.ReportFar)
 		if r.now.Before(t.introduceUntil) {
 			t.farDue = r.now.Add(introductionTime / 4)
 		}
-		r.tellLoad([]Member{r.members.self}, func(p *peer) bool { return p.tier == tierOther })
+		r.tellOtherRegions()
 	}
 }
 
+// farReceivers is how many nodes of another region get a report while a change is told:
+// one of them may be gone. Otherwise one does.
+const farReceivers = 2
+
+// tellOtherRegions reports to a few nodes of each other region, which pass the report on
+// to theirs: bytes between regions are paid for, and don't grow with the fleet's square.
+func (r *Reducer) tellOtherRegions() {
+	heard := map[string][]string{}
+	silent := map[string][]string{}
+	var names []string
+	for _, p := range r.members.order {
+		if p.tier != tierOther || p.member.Leaving() {
+			continue
+		}
+		region := p.member.Region()
+		if !slices.Contains(names, region) {
+			names = append(names, region)
+		}
+		if r.heardLately(p) {
+			heard[region] = append(heard[region], p.member.spec.Address)
+		} else {
+			silent[region] = append(silent[region], p.member.spec.Address)
+		}
+	}
+	receivers := 1
+	if r.now.Before(r.reporting.introduceUntil) {
+		receivers = farReceivers
+	}
+	var addresses []string
+	for _, name := range names {
+		known := heard[name]
+		if len(known) == 0 {
+			known = silent[name]
+		}
+		first := r.random.IntN(len(known))
+		for i := range min(receivers, len(known)) {
+			addresses = append(addresses, known[(first+i)%len(known)])
+		}
+	}
+	if len(addresses) > 0 {
+		r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: []Member{r.members.self}})
+	}
+}
+
+// passOn gives a report that came straight from another region to the own one.
+func (r *Reducer) passOn(e LoadHeard, p *peer) {
+	if p.tier != tierOther || e.From != p.member.spec.Address {
+		return
+	}
+	if near := r.addresses(func(o *peer) bool { return o.tier == tierZone || o.tier == tierRegion }); len(near) > 0 {
+		r.emit(TellLoad{Addresses: near, Digest: e.Digest, Members: e.Members})
+	}
+}
+
+func (r *Reducer) addresses(of func(p *peer) bool) []string {
+	var addresses []string
+	for _, p := range r.members.order {
+		if of(p) {
+			addresses = append(addresses, p.member.spec.Address)
+		}
+	}
+	return addresses
+}
+
 // nearPeriod is the time between two reports to the own region: the more peers there
 // are, the longer, so that reports stay within their bound.
 func (r *Reducer) nearPeriod() time.Duration {
@@ -86,16 +153,9 @@
 }
 
 func (r *Reducer) tellLoad(members []Member, to func(*peer) bool) {
-	var addresses []string
-	for _, p := range r.members.order {
-		if p.tier != tierSelf && to(p) {
-			addresses = append(addresses, p.member.spec.Address)
-		}
-	}
-	if len(addresses) == 0 {
-		return
+	if addresses := r.addresses(to); len(addresses) > 0 {
+		r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: members})
 	}
-	r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: members})
 }
 
 // loadDigest is the part of a digest that a report carries.
@@ -116,7 +176,7 @@
 	if p == nil || p.tier == tierSelf || p.member.ID().Incarnation() != e.Digest.Incarnation {
 		return
 	}
-	if known != p && len(e.Members) > 0 {
+	if known != p && len(e.Members) > 0 && e.From == e.Digest.Address {
 		// The peer is new, and may know as little of this node.
 		r.emit(TellLoad{Addresses: []string{e.Digest.Address}, Digest: r.loadDigest(), Members: []Member{r.members.self}})
 	}
@@ -129,6 +189,7 @@
 		p.reported(e.Digest.Load, r.now, 0)
 	}
 	r.askForPlan(p, e.Digest.PlanOffset)
+	r.passOn(e, p)
 }
 
 // crossingReport is how late a report of an earlier process at an address may arrive.
--- a/internal/mesh/peer/reports.go
+++ b/internal/mesh/peer/reports.go
@@ -65,7 +65,7 @@
 	go r.sendQueued(ctx)
 	buffer := make([]byte, maxReportBytes)
 	for {
-		n, err := r.conn.Read(buffer)
+		n, from, err := r.conn.ReadFromUDP(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -78,7 +78,9 @@
 			r.Logger.Warn().Str("event", "report-unreadable").Err(err).Msgs()
 			continue
 		}
-		r.Loop.Do(reducer.LoadHeard{Digest: digestFromWire(told.GetDigest()), Members: membersFromWire(told.GetMembers())})
+		r.Loop.Do(reducer.LoadHeard{
+			From: from.String(), Digest: digestFromWire(told.GetDigest()), Members: membersFromWire(told.GetMembers()),
+		})
 	}
 }
 
