--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -37,6 +37,11 @@
 
 // expected estimates how long an attempt takes at the present pace.
 func (a *admission) expected(w *work, now time.Time) time.Duration {
+	return a.base(w) * time.Duration(a.currentPace(now)) / usualPace
+}
+
+// base estimates how long an attempt takes at the usual pace.
+func (a *admission) base(w *work) time.Duration {
 	base := a.times[w.route]
 	if base == 0 {
 		base = a.mean
@@ -44,7 +49,7 @@
 	if base == 0 {
 		base = w.objectiveTime / firstShare
 	}
-	return base * time.Duration(a.currentPace(now)) / usualPace
+	return base
 }
 
 // longest estimates the time of the route that takes longest at the present pace.
@@ -140,10 +145,10 @@
 		a.push(w, r.now)
 		return ""
 	}
-	if impatient {
+	if impatient && !r.startsLate(w) {
 		return RefusalBusy
 	}
-	if g.running >= r.usableSlots() && a.expected(w, r.now)*lateWorth > a.longest(r.now) {
+	if g.running >= r.usableSlots() && !r.shortEnough(w) {
 		return RefusalDeadline
 	}
 	if finish.Add(returnAllowance + r.lateAhead(w)).After(w.deadline) {
@@ -153,6 +158,21 @@
 	return ""
 }
 
+// shortEnough reports whether a late attempt is worth its time all the same.
+func (r *Reducer) shortEnough(w *work) bool {
+	a := &r.guard.admission
+	return a.expected(w, r.now)*lateWorth <= a.longest(r.now)
+}
+
+// startsLate reports whether an attempt that no upstream can answer in time may start at
+// once. Calls of servers are often such: they end with the call that they belong to.
+func (r *Reducer) startsLate(w *work) bool {
+	a := &r.guard.admission
+	hopeless := !r.now.Add(a.base(w) + returnAllowance).Before(w.objective)
+	return hopeless && w.body == bodyHere && r.guard.running < r.usableSlots() && a.waiting() == 0 &&
+		r.now.Add(a.expected(w, r.now)+returnAllowance).Before(w.deadline)
+}
+
 // usableSlots is how many attempts with an objective run at a time.
 func (r *Reducer) usableSlots() int {
 	return max(1, int(r.Settings.UsableShare*float64(r.guard.slots)))
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -38,6 +38,10 @@
 	status  int
 	counted bool
 	tried   []*peer
+	// busy are the guards that would not let a routed call wait, and final tells that one
+	// was asked to.
+	busy  []*peer
+	final bool
 	attempt *attempt
 	// memory is the key's record when this call holds it open.
 	memory *keyRecord
@@ -172,7 +176,7 @@
 // is the first one, and another can be paid for.
 func (r *Reducer) impatient(c *call) bool {
 	if c.route != nil {
-		return !c.attempt.replay && !r.lastTry(c)
+		return !c.attempt.replay && !c.final
 	}
 	return len(c.tried) == 1 && !c.attempt.replay && c.kind.kind.Length == LengthShort &&
 		c.retriesLeft > 0 && r.retries.tokens >= 1
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// usualPace is the pace of an upstream that works as fast as usual, in percent.
@@ -21,18 +24,50 @@
 // place picks the upstream for the next attempt of a routed call, or nil. It answers
 // load that shifts within milliseconds: the upstream of the own region that should
 // answer first takes the call, by reports that are some tens of milliseconds old and
-// this entry's own attempts since. Another region is asked only when the own region
-// has nobody left, and only for calls whose bodies are small.
+// this entry's own attempts since. Guards without room refuse at once; when a few have,
+// the call goes where it has to wait least, by what they have just told.
 func (r *Reducer) place(c *call) *peer {
 	s := r.members.services[c.service]
 	if s == nil {
 		return nil
 	}
+	if len(c.tried) < maxTries {
+		if p := r.placeAnew(c, s); p != nil {
+			return p
+		}
+	}
+	c.final = true
+	return r.leastWait(c, s)
+}
+
+// placeAnew picks an upstream that the call was not sent to, or nil.
+func (r *Reducer) placeAnew(c *call, s *servicePeers) *peer {
+	near := r.soonest(c, s, func(p *peer) bool { return !c.hasTried(p) })
+	if near != nil && len(c.tried) < nearTries {
+		return near
+	}
+	if far := r.placeInOtherRegion(c, s); far != nil {
+		return far
+	}
+	return near
+}
+
+// leastWait picks the upstream that should answer first when the call waits there, or nil.
+func (r *Reducer) leastWait(c *call, s *servicePeers) *peer {
+	near := r.soonest(c, s, func(p *peer) bool { return !c.hasTried(p) || slices.Contains(c.busy, p) })
+	if near != nil {
+		return near
+	}
+	return r.placeInOtherRegion(c, s)
+}
+
+// soonest picks the upstream of the own region that should answer first, or nil.
+func (r *Reducer) soonest(c *call, s *servicePeers, fits func(p *peer) bool) *peer {
 	var best *peer
 	var bestScore time.Duration
 	for t := tierSelf; t < tierOther; t++ {
 		for _, p := range s.tiers[t] {
-			if c.hasTried(p) || !r.placeable(p) {
+			if !fits(p) || !r.placeable(p) {
 				continue
 			}
 			score := r.completion(p) + r.jitter(tieTime)
@@ -46,12 +81,6 @@
 			}
 		}
 	}
-	if best != nil && len(c.tried) < nearTries {
-		return best
-	}
-	if far := r.placeInOtherRegion(c, s); far != nil {
-		return far
-	}
 	return best
 }
 
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -38,20 +38,14 @@
 	return r.choose(c)
 }
 
-// lastTry reports whether a call's present attempt is the last that it makes when it
-// is refused, so that the guard may let it wait.
-func (r *Reducer) lastTry(c *call) bool {
-	if len(c.tried) >= maxTries {
-		return true
-	}
-	return r.place(c) == nil
-}
-
 // retryRouted goes on with a routed call whose attempt did not run. Guards that turn
 // a call away cost the upstreams nothing; upstreams that do draw on the budget.
 func (r *Reducer) retryRouted(c *call, reason RefusalReason, bodySpent bool) {
 	again := !bodySpent && !c.callerLeft && r.now.Before(c.deadline)
 	switch reason {
+	case RefusalBusy:
+		c.busy = append(c.busy, c.attempt.peer)
+		again = again && !c.final
 	case RefusalShed:
 		c.sends++
 		again = again && r.maySendAgain(c)
@@ -60,7 +54,7 @@
 	case RefusalQuarantined:
 		again = false
 	default:
-		again = again && len(c.tried) < maxTries
+		again = again && !c.final
 	}
 	if !again {
 		r.rejectNotRun(c, problemAfterRefusal(reason))
