--- a/internal/decision/reducer/announce.go
+++ b/internal/decision/reducer/announce.go
@@ -50,7 +50,7 @@
 // upstreamState says why the upstream takes work or not.
 func (r *Reducer) upstreamState() string {
 	switch {
-	case r.stopping:
+	case r.stopping && r.leaving():
 		return "node-stopping"
 	case r.guard.upstream == "":
 		return "not-announced"
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -40,8 +40,8 @@
 	tried   []*peer
 	// busy are the guards that would not let a routed call wait, and final tells that one
 	// was asked to.
-	busy  []*peer
-	final bool
+	busy    []*peer
+	final   bool
 	attempt *attempt
 	// memory is the key's record when this call holds it open.
 	memory *keyRecord
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -198,6 +198,10 @@
 		Instance string
 	}
 
+	// UpstreamFound is what an upstream that nobody announced yet says when it is asked:
+	// its node has started again beside it.
+	UpstreamFound struct{ Announced UpstreamAnnounced }
+
 	// UpstreamDied is an upstream that refused a connection right after it
 	// broke one.
 	UpstreamDied struct{}
@@ -328,6 +332,7 @@
 func (WorkLeft) event()          {}
 func (SettleAsked) event()       {}
 func (UpstreamAnnounced) event() {}
+func (UpstreamFound) event()     {}
 func (UpstreamDied) event()      {}
 func (UpstreamReplaced) event()  {}
 func (ProbeEnded) event()        {}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -29,6 +29,8 @@
 	stopping  bool
 	stopBy    time.Time
 	lingering time.Time
+	// openUntil is when a stopping node takes no more work for its upstream.
+	openUntil time.Time
 	// lastArrival is when the last call or attempt arrived.
 	lastArrival time.Time
 	quietBy     time.Time
@@ -92,7 +94,7 @@
 	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
-	case WorkArrived, BodyTaken, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamDied, UpstreamReplaced, ProbeEnded:
+	case WorkArrived, BodyTaken, WorkEnded, WorkLeft, SettleAsked, UpstreamAnnounced, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded:
 		r.stepGuard(e)
 	default:
 		r.stepMember(e)
@@ -173,6 +175,8 @@
 		r.settleAsked(e)
 	case UpstreamAnnounced:
 		r.upstreamAnnounced(e)
+	case UpstreamFound:
+		r.upstreamFound(e)
 	case UpstreamDied:
 		r.upstreamDied()
 	case UpstreamReplaced:
@@ -239,6 +243,7 @@
 	r.startWork()
 	r.report()
 	if r.stopping {
+		r.closeUpstream()
 		r.checkStopped()
 	}
 }
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -75,6 +75,9 @@
 	// StopLinger is how long a stopping node goes on serving its callers before it
 	// exits, so that those who send it work learn of the stop.
 	StopLinger time.Duration
+	// StopOpen is how long a stopping node goes on taking work for its upstream, which
+	// lives on.
+	StopOpen time.Duration
 	// Quarantine is how long a request that crashes upstreams is refused.
 	Quarantine time.Duration
 	// Objective is the share of calls that should be answered in time.
--- a/internal/decision/reducer/stop.go
+++ b/internal/decision/reducer/stop.go
@@ -10,6 +10,7 @@
 	r.stopping = true
 	r.stopBy = r.now.Add(r.Settings.StopAllowance)
 	r.lingering = r.now.Add(r.Settings.StopLinger)
+	r.openUntil = r.now.Add(r.Settings.StopOpen)
 	r.announceSelf()
 	r.refuseQueueWhenLeaving()
 	for _, p := range r.members.order {
@@ -48,6 +49,17 @@
 	r.emit(Stopped{})
 }
 
+// closeUpstream stops taking work for the upstream once a stopping node has been open for
+// long enough: the upstream itself goes on, and its slots would stand empty.
+func (r *Reducer) closeUpstream() {
+	if r.openUntil.IsZero() || r.now.Before(r.openUntil) {
+		return
+	}
+	r.openUntil = time.Time{}
+	r.announceSelf()
+	r.refuseQueueWhenLeaving()
+}
+
 // busy reports whether a stopping node has work in flight or shares to hand over.
 func (r *Reducer) busy() bool {
 	return len(r.calls) > 0 || len(r.guard.works) > 0 || r.holdsShares()
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -26,9 +26,26 @@
 	r.startWork()
 }
 
+// upstreamFound takes an upstream's answer, unless it has announced itself meanwhile.
+func (r *Reducer) upstreamFound(e UpstreamFound) {
+	if r.guard.upstream == "" {
+		r.upstreamAnnounced(e.Announced)
+	}
+}
+
+// HealthPath returns where the upstreams of a service tell of their health, and whether a
+// plan says so while the node's own upstream is still unknown.
+func (r *Reducer) HealthPath(service string) (path string, wanted bool) {
+	s := r.index[service]
+	if s == nil || s.plan.HealthPath == "" {
+		return "", false
+	}
+	return s.plan.HealthPath, r.guard.upstream == ""
+}
+
 // leaving reports whether the upstream takes no new work.
 func (r *Reducer) leaving() bool {
-	if r.stopping || r.guard.draining {
+	if (r.stopping && !r.now.Before(r.openUntil)) || r.guard.draining {
 		return true
 	}
 	s := r.index[r.guard.service]
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -21,6 +21,9 @@
 	// which grows while a fleet starts; members that it lacks introduce themselves.
 	firstListing  = time.Second
 	listingPeriod = time.Minute
+	// findTimeout bounds the question to the upstream, which announces itself every
+	// second or two.
+	findTimeout = time.Second
 	// watchPeriod is how often a node looks whether it is to wait for plans, and
 	// unwatchedPeriod how often one that is not reads them all the same.
 	watchPeriod     = 200 * time.Millisecond
@@ -50,6 +53,8 @@
 	Upstream upstream.Protocol
 	// Announcements returns the handler of what the upstream says of itself.
 	Announcements func(do func(reducer.Event)) http.Handler
+	// Find asks the upstream on this VM what it is, at its health path.
+	Find func(ctx context.Context, healthPath string) (reducer.UpstreamAnnounced, error)
 	// Ready returns the handler of the platform's question for readiness.
 	Ready func(ready func() bool) http.Handler
 	// Directory is where members find each other.
@@ -83,12 +88,41 @@
 // runAdapter starts what keeps in touch with the platform's store.
 func (n *Node) runAdapter(ctx context.Context) {
 	n.work.Go(func() { n.watchPlans(ctx) })
+	n.work.Go(func() { n.findUpstream(ctx) })
 	n.work.Go(func() {
 		n.announceSelf(ctx)
 		n.listMembers(ctx)
 	})
 }
 
+// findUpstream asks the upstream on this VM what it is as soon as a plan tells where: a
+// node that starts again beside it need not wait for its next announcement. One that
+// doesn't answer, or is not well, is left to announce itself.
+func (n *Node) findUpstream(ctx context.Context) {
+	ticker := time.NewTicker(adapterTick)
+	defer ticker.Stop()
+	path, wanted := "", false
+	for !wanted {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.loop.Inspect(func(r *reducer.Reducer) { path, wanted = r.HealthPath(n.Settings.Service) })
+		if path != "" && !wanted {
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	found, err := n.Adapter.Find(ctx, path)
+	if err != nil {
+		n.Logger.Info().Str("event", "upstream-not-found").Err(err).Msgs()
+		return
+	}
+	n.loop.Do(reducer.UpstreamFound{Announced: found})
+}
+
 // watchPlans puts published plans in force until the context ends.
 func (n *Node) watchPlans(ctx context.Context) {
 	dependency := n.dependency("plans")
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -192,6 +192,7 @@
 	s.PlanWatchers = r.integer("platform", "plan_watchers", s.PlanWatchers, 1, 10_000)
 	s.ReportFar = r.duration("reports", "far", s.ReportFar, 10*time.Millisecond, time.Minute)
 	s.StopLinger = r.duration("stop", "linger", s.StopLinger, 0, time.Hour)
+	s.StopOpen = r.duration("stop", "open", s.StopOpen, 0, time.Hour)
 	s.ExchangePeriod = r.duration("peers", "exchange", s.ExchangePeriod, 20*time.Millisecond, time.Minute)
 	s.Retention = r.duration("platform", "retention", s.Retention, 0, 365*24*time.Hour)
 	s.FreshAnswer = r.duration("probes", "fresh_answer", s.FreshAnswer, 10*time.Millisecond, time.Minute)
