Keep bytes in the zone and calls off the store

Cause: an upload that crosses zones costs a sixth of what it earns, and one went to another zone as soon as that seemed 60 ms sooner; announcements travelled with every report to other regions, and to all of them for a second after each plan; each node read the directory twice at its start and the plans about every 15 s beside the watchers. An upload stays in its zone while that answers within a third of the time left sooner or later, a short request for 8 ms.

--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -71,8 +71,8 @@
 				continue
 			}
 			score := r.completion(p) + r.jitter(tieTime)
-			if t == tierRegion && c.kind.kind.Length == LengthLong {
-				score += longWay
+			if t == tierRegion {
+				score += r.zoneWay(c)
 			}
 			r.trace.consider(p, score, p.load(r.now))
 			if best == nil || score < bestScore {
@@ -88,9 +88,23 @@
 // costs a round trip, and the region's reports are some tens of milliseconds old.
 const nearTries = 3
 
-// longWay is how much later another availability zone may answer a long request and be
-// chosen all the same: long bodies between zones are paid for.
-const longWay = 60 * time.Millisecond
+const (
+	// shortWay is how much later the own availability zone may answer a short request and
+	// be chosen all the same: bytes between zones are paid for.
+	shortWay = 8 * time.Millisecond
+	// longWayShare is the same for a long request, as a part of the time that is left
+	// until its objective: one in so many.
+	longWayShare = 3
+)
+
+// zoneWay is how much later the own availability zone may answer a call and be chosen all
+// the same.
+func (r *Reducer) zoneWay(c *call) time.Duration {
+	if c.kind.kind.Length == LengthLong {
+		return max(shortWay, c.objective.Sub(r.now)/longWayShare)
+	}
+	return shortWay
+}
 
 // tieTime is the difference between completion times that a choice leaves to chance.
 const tieTime = 2 * time.Millisecond
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -284,7 +284,7 @@
 		r.index[s.Name] = indexed
 	}
 	r.routes.replan(plan.spec.Routes)
-	r.introduce()
+	r.spread()
 	r.members.replan(r.index)
 	r.refuseQueueWhenLeaving()
 }
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -11,6 +11,8 @@
 	introductionTime = time.Second
 	// introductionPeriod is how often the announcement travels when nothing changed.
 	introductionPeriod = time.Second
+	// farIntroductionPeriod is the same for other regions, whose nodes pass it on.
+	farIntroductionPeriod = 3 * time.Second
 	// quietReport is how often a report that says nothing new is sent, as a sign of life.
 	quietReport = 400 * time.Millisecond
 	// silentNear and silentFar are how long a peer may be silent before choices pass
@@ -21,20 +23,28 @@
 
 // reporting is when this node tells its load to its peers.
 type reporting struct {
-	nearDue        time.Time
-	quietDue       time.Time
-	farDue         time.Time
-	introduceDue   time.Time
-	introduceUntil time.Time
-	told           LoadReport
+	nearDue      time.Time
+	quietDue     time.Time
+	farDue       time.Time
+	introduceDue time.Time
+	// farIntroduceDue is when the announcement travels to other regions again.
+	farIntroduceDue time.Time
+	introduceUntil  time.Time
+	told            LoadReport
+}
+
+// spread tells the own region at once what this node knows now.
+func (r *Reducer) spread() {
+	r.reporting.nearDue = r.now
+	r.reporting.quietDue = r.now
 }
 
 // introduce tells every peer at once what this node announces.
 func (r *Reducer) introduce() {
 	r.reporting.introduceUntil = r.now.Add(introductionTime)
-	r.reporting.nearDue = r.now
-	r.reporting.quietDue = r.now
 	r.reporting.farDue = r.now
+	r.reporting.farIntroduceDue = r.now
+	r.spread()
 }
 
 // report tells the load to the own region when it has changed, and to other regions
@@ -101,9 +111,15 @@
 			addresses = append(addresses, known[(first+i)%len(known)])
 		}
 	}
-	if len(addresses) > 0 {
-		r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: []Member{r.members.self}})
+	if len(addresses) == 0 {
+		return
+	}
+	tell := TellLoad{Addresses: addresses, Digest: r.loadDigest()}
+	if r.now.Before(r.reporting.introduceUntil) || !r.now.Before(r.reporting.farIntroduceDue) {
+		r.reporting.farIntroduceDue = r.now.Add(farIntroductionPeriod)
+		tell.Members = []Member{r.members.self}
 	}
+	r.emit(tell)
 }
 
 // passOn gives a report that came straight from another region to the own one.
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -17,9 +17,8 @@
 	// firstRetry and lastRetry bound the time between two tries at the platform's store.
 	firstRetry = 150 * time.Millisecond
 	lastRetry  = time.Second
-	// firstListing and listingPeriod are the time between two readings of the directory,
-	// which grows while a fleet starts; members that it lacks introduce themselves.
-	firstListing  = time.Second
+	// listingPeriod is the time between two readings of the directory: of two members
+	// that start together the later one finds the other there, and introduces itself.
 	listingPeriod = time.Minute
 	// findTimeout bounds the question to the upstream, which announces itself every
 	// second or two.
@@ -27,7 +26,7 @@
 	// watchPeriod is how often a node looks whether it is to wait for plans, and
 	// unwatchedPeriod how often one that is not reads them all the same.
 	watchPeriod     = 200 * time.Millisecond
-	unwatchedPeriod = 15 * time.Second
+	unwatchedPeriod = time.Minute
 )
 
 // Directory is where members find each other.
@@ -189,7 +188,7 @@
 func (n *Node) listMembers(ctx context.Context) {
 	dependency := n.dependency("directory")
 	retry := firstRetry
-	period := firstListing
+	period := listingPeriod
 	for ctx.Err() == nil {
 		specs, err := n.Adapter.Directory.Members(ctx)
 		if err != nil {
