--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -16,9 +16,11 @@
 	ejectBackoff      = time.Second
 	maxEject          = 30 * time.Second
 	reportHalfLife    = 200 * time.Millisecond
-	maxFadeHalves     = 8
-	minServiceTime    = 100 * time.Microsecond
-	staleSample       = time.Second
+	// farHalfLife is the same for peers of other regions, which report each second.
+	farHalfLife    = 2 * time.Second
+	maxFadeHalves  = 8
+	minServiceTime = 100 * time.Microsecond
+	staleSample    = time.Second
 	// forgetSteps is how many renewals take a stale service time most of the way to
 	// the median.
 	forgetSteps   = 8
@@ -138,7 +140,11 @@
 	if p.report.IsZero() {
 		return 0
 	}
-	halves := float64(now.Sub(p.reportedAt)) / float64(reportHalfLife)
+	halfLife := reportHalfLife
+	if p.tier == tierOther {
+		halfLife = farHalfLife
+	}
+	halves := float64(now.Sub(p.reportedAt)) / float64(halfLife)
 	if halves > maxFadeHalves {
 		return 0
 	}
