Count the calls of a repeated run as repeats; leave the first plan to a few nodes

Cause 1: calls that an upstream makes while it runs a request once more count against the budget of the service that is called, and no entry saw them: with two services shedding at once the bound could be passed. A guard is told of repeats now, and its node's entry charges their share of its calls; so 0.85 instead of 0.7 of the allowance may be spent. Cause 2: every node asked the store for the first plan again and again while a fleet started.

--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -88,6 +88,8 @@
 		Deadline time.Time
 		Retries  int
 		Replay   bool
+		// Repeat tells that another upstream may have seen the call.
+		Repeat bool
 		// Impatient asks the guard to refuse rather than to let the attempt wait.
 		Impatient   bool
 		Fingerprint uint64
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -156,6 +156,8 @@
 		Replay bool
 		// Impatient asks for a refusal where the attempt would wait for long.
 		Impatient bool
+		// Repeat tells that another upstream may have seen the call.
+		Repeat bool
 		// Objective is when an answer loses most of its worth, or zero.
 		Objective time.Time
 		// RequestID names the caller's request in logs, or is empty.
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -24,12 +24,14 @@
 	works       map[WorkID]*work
 	running     int
 	runningLong int
-	short       workQueue
-	long        workQueue
-	shortsSince int
-	shortTime   time.Duration
-	longTime    time.Duration
-	answeredAt  time.Time
+	// runningRepeats counts the running attempts whose calls another upstream may have seen.
+	runningRepeats int
+	short          workQueue
+	long           workQueue
+	shortsSince    int
+	shortTime      time.Duration
+	longTime       time.Duration
+	answeredAt     time.Time
 	// instance names the upstream's run, or is empty.
 	instance  string
 	admission admission
@@ -108,7 +110,7 @@
 	w := &work{
 		id: e.Work, attempt: e.Attempt, name: keyName{service: e.Service, key: e.Key}, keyed: e.Keyed, length: e.Length, weight: 1,
 		deadline: e.Deadline, fingerprint: e.Fingerprint, objective: e.Objective, route: e.Kind,
-		requestID: e.RequestID, arrived: r.now,
+		requestID: e.RequestID, arrived: r.now, repeat: e.Repeat,
 	}
 	if !e.Objective.IsZero() {
 		w.objectiveTime = max(0, e.Objective.Sub(r.now))
@@ -297,6 +299,9 @@
 	w.started = r.now
 	w.startPace = g.admission.currentPace(r.now)
 	g.running++
+	if w.repeat {
+		g.runningRepeats++
+	}
 	if w.length == LengthLong {
 		g.runningLong++
 	}
@@ -318,6 +323,9 @@
 		return
 	}
 	g.running--
+	if w.repeat {
+		g.runningRepeats--
+	}
 	if w.length == LengthLong {
 		g.runningLong--
 	}
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -18,6 +18,7 @@
 	deadline    time.Time
 	fingerprint uint64
 	running     bool
+	repeat      bool
 	// objective is when an answer loses most of its worth, or zero.
 	objective time.Time
 	// objectiveTime is what was left until the objective when the attempt arrived.
--- a/internal/decision/reducer/retrybudget.go
+++ b/internal/decision/reducer/retrybudget.go
@@ -4,10 +4,9 @@
 
 const (
 	// fixedShare and earnedShare are the parts of the allowance that entries use: entries
-	// know each other late, and the calls of an upstream that runs a request once more
-	// count as repeats, too, which no entry sees.
+	// know each other late, and requests arrive a little later than they are sent.
 	fixedShare  = 0.35
-	earnedShare = 0.7
+	earnedShare = 0.85
 	// budgetSlices is how many parts of the window are counted apart.
 	budgetSlices = 20
 )
@@ -30,7 +29,7 @@
 // retryWindow counts the requests and the repeats of a window, slice by slice.
 type retryWindow struct {
 	requests [budgetSlices]int
-	repeats  [budgetSlices]int
+	repeats  [budgetSlices]float64
 	// slice is the newest slice's number since the budgets began.
 	slice int64
 }
@@ -49,7 +48,7 @@
 }
 
 // total returns the requests and the repeats of the window.
-func (w *retryWindow) total() (requests, repeats int) {
+func (w *retryWindow) total() (requests int, repeats float64) {
 	for i := range budgetSlices {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
@@ -68,10 +67,14 @@
 	return window
 }
 
-// earnRetry credits a request for a service.
+// earnRetry credits a request for a service. Some requests come from the upstream on this
+// VM; what it calls while it runs a repeat is a repeat, too.
 func (r *Reducer) earnRetry(service string) {
 	window := r.budgetOf(service)
 	window.requests[window.slice%budgetSlices]++
+	if g := &r.guard; g.runningRepeats > 0 {
+		window.repeats[window.slice%budgetSlices] += float64(g.runningRepeats) / float64(g.running)
+	}
 }
 
 // spendRetry takes one more arrival at an upstream from the budget and reports
@@ -82,7 +85,7 @@
 	// A process that starts again must not spend its fixed share twice.
 	age := min(1, float64(r.now.Sub(r.budgets.began))/float64(r.Settings.SharedRetryWindow))
 	fixed := age * fixedShare * float64(r.Settings.SharedRetries) / float64(max(1, len(r.members.order)))
-	if float64(repeats+1) > fixed+earnedShare*r.Settings.RetryShare*float64(requests) {
+	if repeats+1 > fixed+earnedShare*r.Settings.RetryShare*float64(requests) {
 		r.counts.RetriesDenied++
 		return false
 	}
--- a/internal/decision/reducer/routed_test.go
+++ b/internal/decision/reducer/routed_test.go
@@ -318,3 +318,30 @@
 	n.spendRetry(&call{service: routedService})
 	c.Assert(n.counts.Retries <= uint64(spent)+1+uint64(n.Settings.SharedRetries), qt.IsTrue)
 }
+
+// TestCallsOfARepeatedRunSpendTheBudget replays an upstream that runs calls once more and
+// calls another service for each.
+func TestCallsOfARepeatedRunSpendTheBudget(t *testing.T) {
+	c := qt.New(t)
+	spent := func(repeats int) int {
+		n := newGuard(4)
+		n.pass(n.Settings.SharedRetryWindow)
+		for i := range 4 {
+			n.works++
+			n.step(WorkArrived{
+				Work: n.works, Attempt: AttemptID(fmt.Sprint("a", n.works)), To: 1, Service: routedService, Kind: "long",
+				Deadline: n.now.Add(time.Second), Objective: n.now.Add(time.Second), Repeat: i < repeats,
+			})
+		}
+		for range 1000 {
+			n.earnRetry("other")
+		}
+		count := 0
+		for n.spendRetry(&call{service: "other"}) {
+			count++
+		}
+		return count
+	}
+	c.Assert(spent(0) > 100, qt.IsTrue)
+	c.Assert(spent(1), qt.Equals, 0)
+}
--- a/internal/decision/reducer/watching.go
+++ b/internal/decision/reducer/watching.go
@@ -1,16 +1,19 @@
 package reducer
 
+import "time"
+
 // WatchesPlans reports whether this node waits for plans at the store: only a few nodes
 // of each region do, first by hash, of those that reach it. The others learn of a plan by the reports
 // of their peers, and take the place of one that falls silent or loses the store.
 func (r *Reducer) WatchesPlans() bool {
-	if r.inForce.offset == 0 {
+	waiting := r.inForce.offset == 0
+	if waiting && r.now.Sub(r.begun) > firstPlanTime {
 		return true
 	}
 	mine := jobHash(watchJob, r.Self.Address)
 	before := 0
 	for _, p := range r.members.order {
-		if p.tier == tierSelf || p.tier == tierOther || !p.plansReachable || !r.heardLately(p) {
+		if p.tier == tierSelf || p.tier == tierOther || (!p.plansReachable && !waiting) || !r.heardLately(p) {
 			continue
 		}
 		if jobHash(watchJob, p.member.spec.Address) < mine {
@@ -20,6 +23,10 @@
 	return before < r.Settings.PlanWatchers
 }
 
+// firstPlanTime is how long a node that starts leaves it to its peers to wait for the first
+// plan; each node reads the store once by itself before it knows any.
+const firstPlanTime = 1500 * time.Millisecond
+
 // watchJob names the job in the order of nodes.
 const watchJob = "watch-plans"
 
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -136,6 +136,9 @@
 	if e.Impatient {
 		h[peer.HeaderImpatient] = []string{"1"}
 	}
+	if e.Repeat {
+		h[peer.HeaderRepeat] = []string{"1"}
+	}
 	if e.Replay {
 		h[peer.HeaderReplay] = []string{"1"}
 		out.ContentLength = 0
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -100,6 +100,7 @@
 		Deadline: g.Loop.Clock().Add(remaining), Fingerprint: fingerprint,
 		Replay: h.Get(peer.HeaderReplay) != "", Impatient: h.Get(peer.HeaderImpatient) != "",
 		Objective: g.objective(h), RequestID: h.Get(peer.HeaderRequest), BodyBytes: g.bodyBytes(req),
+		Repeat: h.Get(peer.HeaderRepeat) != "",
 	}, true
 }
 
--- a/internal/mesh/peer/headers.go
+++ b/internal/mesh/peer/headers.go
@@ -24,6 +24,7 @@
 	HeaderObjective      = "Tanagerline-Objective"
 	HeaderOutcome        = "Tanagerline-Outcome"
 	HeaderReason         = "Tanagerline-Reason"
+	HeaderRepeat         = "Tanagerline-Repeat"
 	HeaderReplay         = "Tanagerline-Replay"
 	HeaderRequest        = "Tanagerline-Request"
 	HeaderRetries        = "Tanagerline-Retries"
