--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -142,7 +142,7 @@
 	a := &g.admission
 	wait := max(r.waitFor(w), r.intakeWait(w))
 	finish := r.now.Add(wait + a.expected(w, r.now))
-	if !finish.Add(returnAllowance + wait/3).After(w.objective) {
+	if !finish.Add(returnAllowance + wait*2/3).After(w.objective) {
 		a.push(w, r.now)
 		return ""
 	}
