--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -11,6 +11,10 @@
 	// firstShare is the part of an objective that stands in for the service time of a
 	// route that was not measured yet.
 	firstShare = 4
+	// waitMargin is how much longer than estimated an attempt may wait and still count as
+	// in time, in percent of the estimate: from the lateness of attempts that start with
+	// little slack at a crest.
+	waitMargin = 150
 	// meanPace is what the pace of a disturbed upstream comes to over a whole attempt,
 	// in percent, when no fresh figure is known.
 	meanPace = 150
@@ -142,7 +146,7 @@
 	a := &g.admission
 	wait := max(r.waitFor(w), r.intakeWait(w))
 	finish := r.now.Add(wait + a.expected(w, r.now))
-	if !finish.Add(returnAllowance + wait*2/3).After(w.objective) {
+	if !finish.Add(returnAllowance + wait*waitMargin/100).After(w.objective) {
 		a.push(w, r.now)
 		return ""
 	}
