--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -15,7 +15,7 @@
 	minEjectMembers   = 3
 	ejectBackoff      = time.Second
 	maxEject          = 30 * time.Second
-	reportHalfLife    = 200 * time.Millisecond
+	reportHalfLife    = 600 * time.Millisecond
 	// farHalfLife is the same for peers of other regions, which report each second.
 	farHalfLife    = 2 * time.Second
 	maxFadeHalves  = 8
