Split the reports to other regions; say where constants come from

No change of behaviour: one predicate for peers of the own region, the picking of nodes of other regions by itself, sources for the constants.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -11,9 +11,8 @@
 	// firstShare is the part of an objective that stands in for the service time of a
 	// route that was not measured yet.
 	firstShare = 4
-	// waitMargin is how much longer than estimated an attempt may wait and still count as
-	// in time, in percent of the estimate: from the lateness of attempts that start with
-	// little slack at a crest.
+	// waitMargin is how much longer than estimated an attempt that is let in may wait and
+	// still be in time, in percent of the estimate: docs/EXPERIMENTS.md compares values.
 	waitMargin = 150
 	// meanPace is what the pace of a disturbed upstream comes to over a whole attempt,
 	// in percent, when no fresh figure is known.
@@ -174,7 +173,7 @@
 func (r *Reducer) startsLate(w *work) bool {
 	a := &r.guard.admission
 	hopeless := !r.now.Add(a.base(w) + returnAllowance).Before(w.objective)
-	return hopeless && w.body == bodyHere && r.guard.running < r.usableSlots() && a.waiting() == 0 &&
+	return hopeless && startable(w) && r.guard.running < r.usableSlots() && a.waiting() == 0 &&
 		r.now.Add(a.expected(w, r.now)+returnAllowance).Before(w.deadline)
 }
 
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -38,8 +38,8 @@
 	status  int
 	counted bool
 	tried   []*peer
-	// busy are the guards that would not let a routed call wait, and final tells that one
-	// was asked to.
+	// busy are the guards that refused to let a routed call wait, and final tells that its
+	// present attempt may wait.
 	busy    []*peer
 	final   bool
 	attempt *attempt
--- a/internal/decision/reducer/intake.go
+++ b/internal/decision/reducer/intake.go
@@ -6,12 +6,14 @@
 )
 
 const (
-	// intakeTime is how long the bodies that are under way to a guard at a time may
-	// keep its link busy: short requests wait behind them for no longer.
+	// intakeTime is how long the bodies that are under way to a guard at a time may keep
+	// its link busy: half of the shortest objective that short requests have.
 	intakeTime = 40 * time.Millisecond
-	// intakeStall is when a body that doesn't come makes way for others.
+	// intakeStall is when a body that doesn't come makes way for others: six times what
+	// 60 KB take over 10 Mbit/s.
 	intakeStall = 300 * time.Millisecond
-	// maxTakenBytes bounds the bodies that wait in a guard's memory for a slot.
+	// maxTakenBytes bounds the bodies that wait in a guard's memory for a slot: under a
+	// tenth of the smallest VM's.
 	maxTakenBytes = 16 << 20
 )
 
@@ -26,7 +28,7 @@
 	bodyComing
 )
 
-// intake decides when the long bodies of waiting attempts are sent for. It answers
+// intake decides when the long bodies of waiting attempts are asked for. It answers
 // uploads that come together over a narrow link: they are taken one after another, those
 // that must start soonest first, so that short requests aren't held up behind them, and
 // before a slot is taken, so that none idles while a body comes.
@@ -35,7 +37,7 @@
 	heldBytes int64
 }
 
-// takeBodies sends for the bodies that may come now.
+// takeBodies asks for the bodies that may come now.
 func (r *Reducer) takeBodies() {
 	a := &r.guard.admission
 	for _, waiting := range [][]*work{a.inTime, a.late} {
@@ -47,7 +49,7 @@
 	}
 }
 
-// takeBody sends for an attempt's body if it may come now.
+// takeBody asks for an attempt's body if it may come now.
 func (r *Reducer) takeBody(w *work) bool {
 	i := &r.guard.intake
 	if i.heldBytes+w.bodyBytes > maxTakenBytes {
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -15,7 +15,9 @@
 	minEjectMembers   = 3
 	ejectBackoff      = time.Second
 	maxEject          = 30 * time.Second
-	reportHalfLife    = 600 * time.Millisecond
+	// reportHalfLife is when half of the work that others had at an upstream is forgotten:
+	// a guard with nothing new to say reports each 400 ms.
+	reportHalfLife = 600 * time.Millisecond
 	// farHalfLife is the same for peers of other regions, which report each second.
 	farHalfLife    = 2 * time.Second
 	maxFadeHalves  = 8
@@ -63,6 +65,9 @@
 	unreachableTimes int
 }
 
+// near reports whether the peer is another node of the own region.
+func (p *peer) near() bool { return p.tier == tierZone || p.tier == tierRegion }
+
 func newPeer(member Member, t tier) *peer {
 	return &peer{member: member, tier: t, weight: 1}
 }
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -61,7 +61,9 @@
 		t.nearDue = r.now.Add(r.nearPeriod())
 		t.quietDue = r.now.Add(quietReport)
 		members := r.introduction()
-		r.tellLoad(members, func(p *peer) bool { return p.tier == tierZone || p.tier == tierRegion })
+		if near := r.nearAddresses(); len(near) > 0 {
+			r.emit(TellLoad{Addresses: near, Digest: r.loadDigest(), Members: members})
+		}
 	}
 	if !r.now.Before(t.farDue) {
 		t.farDue = r.now.Add(r.Settings.ReportFar)
@@ -77,29 +79,28 @@
 const farReceivers = 2
 
 // tellOtherRegions reports to a few nodes of each other region, which pass the report on
-// to theirs: bytes between regions are paid for, and don't grow with the fleet's square.
+// to theirs: bytes between regions are paid for, and must not grow with the fleet's square.
 func (r *Reducer) tellOtherRegions() {
-	heard := map[string][]string{}
-	silent := map[string][]string{}
-	var names []string
-	for _, p := range r.members.order {
-		if p.tier != tierOther || p.member.Leaving() {
-			continue
-		}
-		region := p.member.Region()
-		if !slices.Contains(names, region) {
-			names = append(names, region)
-		}
-		if r.heardLately(p) {
-			heard[region] = append(heard[region], p.member.spec.Address)
-		} else {
-			silent[region] = append(silent[region], p.member.spec.Address)
-		}
+	addresses := r.farAddresses()
+	if len(addresses) == 0 {
+		return
 	}
+	tell := TellLoad{Addresses: addresses, Digest: r.loadDigest()}
+	if r.now.Before(r.reporting.introduceUntil) || !r.now.Before(r.reporting.farIntroduceDue) {
+		r.reporting.farIntroduceDue = r.now.Add(farIntroductionPeriod)
+		tell.Members = []Member{r.members.self}
+	}
+	r.emit(tell)
+}
+
+// farAddresses picks the nodes of each other region that get the next report: random ones
+// of those that were heard lately, or of all where none was.
+func (r *Reducer) farAddresses() []string {
 	receivers := 1
 	if r.now.Before(r.reporting.introduceUntil) {
 		receivers = farReceivers
 	}
+	names, heard, silent := r.farNodes()
 	var addresses []string
 	for _, name := range names {
 		known := heard[name]
@@ -111,31 +112,46 @@
 			addresses = append(addresses, known[(first+i)%len(known)])
 		}
 	}
-	if len(addresses) == 0 {
-		return
-	}
-	tell := TellLoad{Addresses: addresses, Digest: r.loadDigest()}
-	if r.now.Before(r.reporting.introduceUntil) || !r.now.Before(r.reporting.farIntroduceDue) {
-		r.reporting.farIntroduceDue = r.now.Add(farIntroductionPeriod)
-		tell.Members = []Member{r.members.self}
+	return addresses
+}
+
+// farNodes returns the other regions' names and, by region, the addresses of the nodes
+// that were heard lately and of those that were not.
+func (r *Reducer) farNodes() (names []string, heard, silent map[string][]string) {
+	heard = map[string][]string{}
+	silent = map[string][]string{}
+	for _, p := range r.members.order {
+		if p.tier != tierOther || p.member.Leaving() {
+			continue
+		}
+		region := p.member.Region()
+		if !slices.Contains(names, region) {
+			names = append(names, region)
+		}
+		if r.heardLately(p) {
+			heard[region] = append(heard[region], p.member.spec.Address)
+		} else {
+			silent[region] = append(silent[region], p.member.spec.Address)
+		}
 	}
-	r.emit(tell)
+	return names, heard, silent
 }
 
-// passOn gives a report that came straight from another region to the own one.
+// passOn gives a report that came straight from another region to the own one. What was
+// passed on comes from another address than the peer's, and goes no further.
 func (r *Reducer) passOn(e LoadHeard, p *peer) {
 	if p.tier != tierOther || e.From != p.member.spec.Address {
 		return
 	}
-	if near := r.addresses(func(o *peer) bool { return o.tier == tierZone || o.tier == tierRegion }); len(near) > 0 {
+	if near := r.nearAddresses(); len(near) > 0 {
 		r.emit(TellLoad{Addresses: near, Digest: e.Digest, Members: e.Members})
 	}
 }
 
-func (r *Reducer) addresses(of func(p *peer) bool) []string {
+func (r *Reducer) nearAddresses() []string {
 	var addresses []string
 	for _, p := range r.members.order {
-		if of(p) {
+		if p.near() {
 			addresses = append(addresses, p.member.spec.Address)
 		}
 	}
@@ -151,7 +167,7 @@
 	}
 	near := 0
 	for _, p := range r.members.order {
-		if p.tier == tierZone || p.tier == tierRegion {
+		if p.near() {
 			near++
 		}
 	}
@@ -168,12 +184,6 @@
 	return nil
 }
 
-func (r *Reducer) tellLoad(members []Member, to func(*peer) bool) {
-	if addresses := r.addresses(to); len(addresses) > 0 {
-		r.emit(TellLoad{Addresses: addresses, Digest: r.loadDigest(), Members: members})
-	}
-}
-
 // loadDigest is the part of a digest that a report carries.
 func (r *Reducer) loadDigest() Digest {
 	return Digest{
--- a/internal/decision/reducer/watching.go
+++ b/internal/decision/reducer/watching.go
@@ -13,7 +13,7 @@
 	mine := jobHash(watchJob, r.Self.Address)
 	before := 0
 	for _, p := range r.members.order {
-		if p.tier == tierSelf || p.tier == tierOther || (!p.plansReachable && !waiting) || !r.heardLately(p) {
+		if !p.near() || (!p.plansReachable && !waiting) || !r.heardLately(p) {
 			continue
 		}
 		if jobHash(watchJob, p.member.spec.Address) < mine {
@@ -24,7 +24,7 @@
 }
 
 // firstPlanTime is how long a node that starts leaves it to its peers to wait for the first
-// plan; each node reads the store once by itself before it knows any.
+// plan, several reads of the store; each reads it once by itself before it knows any peer.
 const firstPlanTime = 1500 * time.Millisecond
 
 // watchJob names the job in the order of nodes.
