Don't run an attempt whose requester left while its body was on the way

The entry closes its connection, what it had written of the body still crosses the congested link, and the guard started the attempt on the body's last byte, a packet before the close. Ruled out: the entry's cancellation (the upstream's run was cut in the same millisecond). A guard waits 5 ms for the close before it goes on.

--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -19,6 +20,9 @@
 	answerHeadBytes  = 64 << 10
 	tellAllowance    = time.Second
 	tellPoll         = 2 * time.Millisecond
+	// closeDelay is how long after a body the close of its connection may come: a few
+	// packets of other requests over 10 Mbit/s.
+	closeDelay = 5 * time.Millisecond
 	// maxTakenBody is the longest body that is read before its attempt starts: the most
 	// that entries keep for another attempt.
 	maxTakenBody = 1 << 20
@@ -142,7 +146,7 @@
 		case err := <-body:
 			body = nil
 			effect = nil
-			waiting = err == nil
+			waiting = err == nil && stays(req.Context())
 			if waiting {
 				g.Loop.Do(reducer.BodyTaken{Work: mailbox.ID()})
 			}
@@ -171,6 +175,19 @@
 	}
 }
 
+// stays reports whether a requester is still there a moment after its body. One that left
+// while the body was on the way has closed its connection right behind it.
+func stays(ctx context.Context) bool {
+	timer := time.NewTimer(closeDelay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // takeBody reads a request's body into memory and tells when that is done.
 func takeBody(req *http.Request) chan error {
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/edge/upstream/guard_test.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tanagerline/tanagerline/internal/decision/loop"
+	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/mesh/peer"
+)
+
+// wholeProtocol is the node's own protocol with answers that are passed on whole.
+type wholeProtocol struct{ ownProtocol }
+
+func (wholeProtocol) Whole() bool { return true }
+
+// newServedGuard returns the address of a guard's listener and the count of the requests
+// that its upstream got.
+func newServedGuard(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	var reached atomic.Int64
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		w.WriteHeader(http.StatusOK)
+	}))
+	t.Cleanup(upstream.Close)
+	l := &loop.Loop{
+		Reducer: &reducer.Reducer{
+			Self:     reducer.MemberSpec{Address: "127.0.0.1:1", Incarnation: 7, Region: "r", Zone: "z"},
+			Settings: reducer.DefaultSettings(),
+		},
+		Clock: time.Now, Background: func(reducer.Effect) {},
+	}
+	l.Prepare()
+	l.Do(reducer.UpstreamAnnounced{Service: "desk", Address: strings.TrimPrefix(upstream.URL, "http://"), Slots: 4})
+	guard := &Guard{Loop: l, Telling: func() int64 { return 0 }, Protocol: wholeProtocol{}}
+	guard.Prepare()
+	listener := &peer.Listener{Loop: l, Guard: guard}
+	server := httptest.NewServer(listener.Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), &reached
+}
+
+// offerBody sends the head of an attempt with a long body and returns once the body is
+// asked for.
+func offerBody(c *qt.C, address string, length int) net.Conn {
+	c.Helper()
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n"+
+		"%s: a1\r\n%s: 7\r\n%s: 2s\r\n%s: 1s\r\n%s: 1\r\n%s: desk\r\n\r\n", length,
+		peer.HeaderAttempt, peer.HeaderTo, peer.HeaderTimeout, peer.HeaderObjective, peer.HeaderFingerprint, peer.HeaderService)
+	c.Assert(err, qt.IsNil)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	c.Assert(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+	return conn
+}
+
+func TestBodyIsAskedForAndTheAttemptRuns(t *testing.T) {
+	c := qt.New(t)
+	address, reached := newServedGuard(t)
+	conn := offerBody(c, address, 30_000)
+	defer func() { _ = conn.Close() }()
+	c.Assert(reached.Load(), qt.Equals, int64(0))
+	_, err := conn.Write(make([]byte, 30_000))
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil && resp.StatusCode == http.StatusContinue {
+		t.Fatal("the body was asked for twice")
+	}
+	c.Assert(reached.Load(), qt.Equals, int64(1))
+}
+
+// TestRequesterThatLeftBehindItsBodyIsNotRun replays a caller that leaves while its body is
+// on the way over a slow link: the body still comes, and the close right behind it.
+func TestRequesterThatLeftBehindItsBodyIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	for range 20 {
+		address, reached := newServedGuard(t)
+		conn := offerBody(c, address, 30_000)
+		_, err := conn.Write(make([]byte, 30_000))
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.Close(), qt.IsNil)
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(reached.Load(), qt.Equals, int64(0))
+	}
+}
