Log when a guard asks for a body; end the search for the upstream with its announcement

A guard's request for a long body is a decision that touches a request and had no line. A node of a service without a health path went on looking for one for ever. One accessor for the health path instead of two.

--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -18,6 +18,7 @@
 
 // The decisions that touch an attempt, at its guard.
 const (
+	DecidedBody    DecisionKind = "body-asked-for"
 	DecidedStarted DecisionKind = "work-started"
 	DecidedDenied  DecisionKind = "work-refused"
 	DecidedEnded   DecisionKind = "work-ended"
--- a/internal/decision/reducer/intake.go
+++ b/internal/decision/reducer/intake.go
@@ -62,6 +62,7 @@
 	w.bodyAt = r.now
 	i.coming = append(i.coming, w)
 	i.heldBytes += w.bodyBytes
+	r.decidedWork(DecidedBody, w, "")
 	r.emit(TakeBody{Work: w.id})
 	return true
 }
--- a/internal/decision/reducer/probe.go
+++ b/internal/decision/reducer/probe.go
@@ -54,7 +54,7 @@
 	p.bytes.spend(probeBytes)
 	p.inFlight = true
 	r.counts.Probes++
-	r.emit(ProbeUpstream{Upstream: g.upstream, HealthPath: r.healthPath()})
+	r.emit(ProbeUpstream{Upstream: g.upstream, HealthPath: r.HealthPath(g.service)})
 }
 
 func (r *Reducer) probeEnded(e ProbeEnded) {
@@ -81,11 +81,3 @@
 	p.due = r.now.Add(r.Settings.ProbePeriod << min(p.failures, maxProbeBackoff))
 	r.startWork()
 }
-
-// healthPath is where the plan says that the upstream tells of its health, or empty.
-func (r *Reducer) healthPath() string {
-	if s := r.index[r.guard.service]; s != nil {
-		return s.plan.HealthPath
-	}
-	return ""
-}
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -33,14 +33,16 @@
 	}
 }
 
-// HealthPath returns where the upstreams of a service tell of their health, and whether a
-// plan says so while the node's own upstream is still unknown.
-func (r *Reducer) HealthPath(service string) (path string, wanted bool) {
-	s := r.index[service]
-	if s == nil || s.plan.HealthPath == "" {
-		return "", false
+// Announced reports whether the node knows its upstream.
+func (r *Reducer) Announced() bool { return r.guard.upstream != "" }
+
+// HealthPath returns where the upstreams of a service tell of their health, or an empty
+// path where no plan says so.
+func (r *Reducer) HealthPath(service string) string {
+	if s := r.index[service]; s != nil {
+		return s.plan.HealthPath
 	}
-	return s.plan.HealthPath, r.guard.upstream == ""
+	return ""
 }
 
 // leaving reports whether the upstream takes no new work.
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -100,15 +100,15 @@
 func (n *Node) findUpstream(ctx context.Context) {
 	ticker := time.NewTicker(adapterTick)
 	defer ticker.Stop()
-	path, wanted := "", false
-	for !wanted {
+	path, announced := "", false
+	for path == "" {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		n.loop.Inspect(func(r *reducer.Reducer) { path, wanted = r.HealthPath(n.Settings.Service) })
-		if path != "" && !wanted {
+		n.loop.Inspect(func(r *reducer.Reducer) { path, announced = r.HealthPath(n.Settings.Service), r.Announced() })
+		if announced {
 			return
 		}
 	}
