Make a histogram's sample once

Cause: each call and each attempt made a sample of 1,028 places, only to drop it, since its histogram was registered already. A line for an ended attempt took 4,677 ns and 18,629 B, and takes 597 ns and 48 B (a benchmark of decisions.tell, one run each).

--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -112,6 +112,10 @@
 	}
 }
 
+// histogram returns a histogram; only the first use of its name makes the sample.
 func (d *decisions) histogram(name string) metrics.Histogram {
+	if known, ok := d.registry.Get(name).(metrics.Histogram); ok {
+		return known
+	}
 	return metrics.GetOrRegisterHistogram(name, d.registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 }
