Derive what bodies are under way from the attempts

The list of bodies that come and the sum of those that wait were kept beside the guard's attempts, which hold the same, and each way out of the queue had to keep them right.

--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -35,7 +35,6 @@
 	// instance names the upstream's run, or is empty.
 	instance  string
 	admission admission
-	intake    intake
 }
 
 func (g *guard) init() { g.works = map[WorkID]*work{} }
@@ -227,7 +226,6 @@
 func (r *Reducer) dropQueued(w *work, reason RefusalReason) {
 	r.guard.queueOf(w.length).remove(w)
 	r.guard.admission.remove(w)
-	r.guard.intake.release(w)
 	delete(r.guard.works, w.id)
 	r.closeUnstarted(w)
 	r.refuseWork(w, reason)
@@ -294,7 +292,6 @@
 
 func (r *Reducer) start(w *work) {
 	g := &r.guard
-	g.intake.release(w)
 	w.running = true
 	w.started = r.now
 	w.startPace = g.admission.currentPace(r.now)
--- a/internal/decision/reducer/intake.go
+++ b/internal/decision/reducer/intake.go
@@ -1,9 +1,6 @@
 package reducer
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// intakeTime is how long the bodies that are under way to a guard at a time may keep
@@ -28,16 +25,10 @@
 	bodyComing
 )
 
-// intake decides when the long bodies of waiting attempts are asked for. It answers
+// takeBodies asks for the long bodies of waiting attempts that may come now. It answers
 // uploads that come together over a narrow link: they are taken one after another, those
 // that must start soonest first, so that short requests aren't held up behind them, and
 // before a slot is taken, so that none idles while a body comes.
-type intake struct {
-	coming    []*work
-	heldBytes int64
-}
-
-// takeBodies asks for the bodies that may come now.
 func (r *Reducer) takeBodies() {
 	a := &r.guard.admission
 	for _, waiting := range [][]*work{a.inTime, a.late} {
@@ -51,8 +42,7 @@
 
 // takeBody asks for an attempt's body if it may come now.
 func (r *Reducer) takeBody(w *work) bool {
-	i := &r.guard.intake
-	if i.heldBytes+w.bodyBytes > maxTakenBytes {
+	if r.guard.takenBytes()+w.bodyBytes > maxTakenBytes {
 		return false
 	}
 	if under := r.underWay(); under > 0 && r.linkTime(under+w.bodyBytes) > intakeTime {
@@ -60,18 +50,27 @@
 	}
 	w.body = bodyComing
 	w.bodyAt = r.now
-	i.coming = append(i.coming, w)
-	i.heldBytes += w.bodyBytes
 	r.decidedWork(DecidedBody, w, "")
 	r.emit(TakeBody{Work: w.id})
 	return true
 }
 
+// takenBytes is the bytes of the bodies that were asked for and whose attempts wait.
+func (g *guard) takenBytes() int64 {
+	total := int64(0)
+	for _, w := range g.works {
+		if !w.running && !w.bodyAt.IsZero() {
+			total += w.bodyBytes
+		}
+	}
+	return total
+}
+
 // underWay is the bytes of the bodies that are coming and not stalled.
 func (r *Reducer) underWay() int64 {
 	total := int64(0)
-	for _, w := range r.guard.intake.coming {
-		if r.now.Sub(w.bodyAt) < intakeStall {
+	for _, w := range r.guard.works {
+		if w.body == bodyComing && r.now.Sub(w.bodyAt) < intakeStall {
 			total += w.bodyBytes
 		}
 	}
@@ -80,28 +79,10 @@
 
 // bodyTaken notes that an attempt's body is here.
 func (r *Reducer) bodyTaken(e BodyTaken) {
-	w := r.guard.works[e.Work]
-	if w == nil || w.body != bodyComing {
-		return
-	}
-	r.guard.intake.stop(w)
-	w.body = bodyHere
-	r.startWork()
-}
-
-// stop forgets that a body is coming.
-func (i *intake) stop(w *work) {
-	i.coming = slices.DeleteFunc(i.coming, func(o *work) bool { return o == w })
-}
-
-// release forgets the body of an attempt that waits no longer.
-func (i *intake) release(w *work) {
-	if w.bodyAt.IsZero() {
-		return
+	if w := r.guard.works[e.Work]; w != nil && w.body == bodyComing {
+		w.body = bodyHere
+		r.startWork()
 	}
-	i.stop(w)
-	i.heldBytes -= w.bodyBytes
-	w.bodyAt = time.Time{}
 }
 
 // intakeWait estimates how long it takes until an attempt's body is here.
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -28,7 +28,7 @@
 	startPace int
 	started   time.Time
 	// bodyBytes and body are about a body that is sent once it is asked for, and bodyAt
-	// is when that was.
+	// is when that was, or zero.
 	bodyBytes int64
 	body      bodyState
 	bodyAt    time.Time
