Wait for a guard's decision in one loop

The loop kept a flag, a timer beside the requester's context, and the last effect; the body's reader replaced the request's body by itself. One context with the deadline, one place that takes an attempt back, and the body is handed over.

--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -128,53 +128,46 @@
 }
 
 // await returns the decision on an attempt, and reads its body when that is asked for.
-// When the requester leaves or the deadline passes first, the attempt is taken back; a
-// decision that was already made still counts.
+// When the requester leaves or the deadline passes first, the attempt is taken back.
 func (g *Guard) await(req *http.Request, mailbox *loop.WorkMailbox, deadline time.Time) reducer.WorkEffect {
-	effect := next(mailbox)
-	timer := time.NewTimer(deadline.Sub(g.Loop.Clock()))
-	defer timer.Stop()
-	var body chan error
-	for waiting := true; waiting; {
-		if _, wanted := effect.(reducer.TakeBody); wanted {
-			body = takeBody(req)
-		} else if effect != nil {
-			return effect
-		}
+	ctx, cancel := g.Loop.WithDeadline(req.Context(), deadline)
+	defer cancel()
+	var body <-chan io.ReadCloser
+	for {
 		select {
-		case effect = <-mailbox.Effects():
-		case err := <-body:
-			body = nil
-			effect = nil
-			waiting = err == nil && stays(req.Context())
-			if waiting {
-				g.Loop.Do(reducer.BodyTaken{Work: mailbox.ID()})
+		case effect := <-mailbox.Effects():
+			if _, wanted := effect.(reducer.TakeBody); !wanted {
+				return effect
 			}
-		case <-req.Context().Done():
-			waiting = false
-		case <-timer.C:
-			waiting = false
+			body = takeBody(req)
+		case taken := <-body:
+			if taken == nil || !stays(ctx) {
+				return g.takeBack(mailbox)
+			}
+			body = nil
+			req.Body = taken
+			g.Loop.Do(reducer.BodyTaken{Work: mailbox.ID()})
+		case <-ctx.Done():
+			return g.takeBack(mailbox)
 		}
 	}
+}
+
+// takeBack ends an attempt that waits; a decision that was already made still counts.
+func (g *Guard) takeBack(mailbox *loop.WorkMailbox) reducer.WorkEffect {
 	g.Loop.Do(reducer.WorkLeft{Work: mailbox.ID()})
 	for {
-		effect = next(mailbox)
-		if _, wanted := effect.(reducer.TakeBody); !wanted {
-			return effect
+		select {
+		case effect := <-mailbox.Effects():
+			if _, wanted := effect.(reducer.TakeBody); !wanted {
+				return effect
+			}
+		default:
+			return nil
 		}
 	}
 }
 
-// next returns the decision that was already made, or nil.
-func next(mailbox *loop.WorkMailbox) reducer.WorkEffect {
-	select {
-	case effect := <-mailbox.Effects():
-		return effect
-	default:
-		return nil
-	}
-}
-
 // stays reports whether a requester is still there a moment after its body. One that left
 // while the body was on the way has closed its connection right behind it.
 func stays(ctx context.Context) bool {
@@ -188,19 +181,20 @@
 	}
 }
 
-// takeBody reads a request's body into memory and tells when that is done.
-func takeBody(req *http.Request) chan error {
-	done := make(chan error, 1)
-	body := req.Body
+// takeBody reads a request's body into memory and hands it over, or nil when its requester
+// broke it off.
+func takeBody(req *http.Request) <-chan io.ReadCloser {
+	taken := make(chan io.ReadCloser, 1)
+	body, length := req.Body, req.ContentLength
 	go func() {
-		data := make([]byte, req.ContentLength)
-		_, err := io.ReadFull(body, data)
-		if err == nil {
-			req.Body = io.NopCloser(bytes.NewReader(data))
+		data := make([]byte, length)
+		if _, err := io.ReadFull(body, data); err != nil {
+			taken <- nil
+			return
 		}
-		done <- err
+		taken <- io.NopCloser(bytes.NewReader(data))
 	}()
-	return done
+	return taken
 }
 
 // run sends a started attempt to the upstream.
