Choose an upstream in one loop

The own region's and the other regions' choice each looped for the lowest score; a flag on the call repeated what its tried upstreams say; peers of the own region were counted beside the list of their addresses.

--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -16,9 +16,7 @@
 	objective time.Time
 	requestID string
 	// sends counts the attempts that may have reached an upstream.
-	sends int
-	// leftRegion tells that an upstream of another region was tried.
-	leftRegion  bool
+	sends       int
 	key         string
 	keyGiven    bool
 	keyed       bool
@@ -60,6 +58,11 @@
 
 func (c *call) hasTried(p *peer) bool { return slices.Contains(c.tried, p) }
 
+// leftRegion reports whether an upstream of another region was tried.
+func (c *call) leftRegion() bool {
+	return slices.ContainsFunc(c.tried, func(p *peer) bool { return p.tier == tierOther })
+}
+
 // callArrived begins a call.
 func (r *Reducer) callArrived(e CallArrived) {
 	r.counts.Calls++
@@ -150,7 +153,6 @@
 	}
 	c.attempt = a
 	c.tried = append(c.tried, p)
-	c.leftRegion = c.leftRegion || p.tier == tierOther
 	p.begin(a.length, r.now)
 	if c.memory != nil {
 		c.memory.attempt = a.id
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -275,6 +275,6 @@
 	return directoryLifetime
 }
 
-// directoryLifetime is how long a member is remembered where a directory names it
-// again every few seconds.
+// directoryLifetime is how long a member is remembered where a directory, which is read
+// each minute, names it again.
 const directoryLifetime = 10 * time.Minute
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -42,7 +42,7 @@
 
 // placeAnew picks an upstream that the call was not sent to, or nil.
 func (r *Reducer) placeAnew(c *call, s *servicePeers) *peer {
-	near := r.soonest(c, s, func(p *peer) bool { return !c.hasTried(p) })
+	near := r.placeNear(c, s, func(p *peer) bool { return !c.hasTried(p) })
 	if near != nil && len(c.tried) < nearTries {
 		return near
 	}
@@ -54,30 +54,37 @@
 
 // leastWait picks the upstream that should answer first when the call waits there, or nil.
 func (r *Reducer) leastWait(c *call, s *servicePeers) *peer {
-	near := r.soonest(c, s, func(p *peer) bool { return !c.hasTried(p) || slices.Contains(c.busy, p) })
+	near := r.placeNear(c, s, func(p *peer) bool { return !c.hasTried(p) || slices.Contains(c.busy, p) })
 	if near != nil {
 		return near
 	}
 	return r.placeInOtherRegion(c, s)
 }
 
-// soonest picks the upstream of the own region that should answer first, or nil.
-func (r *Reducer) soonest(c *call, s *servicePeers, fits func(p *peer) bool) *peer {
+// placeNear picks the upstream of the own region that should answer first, or nil.
+func (r *Reducer) placeNear(c *call, s *servicePeers, fits func(*peer) bool) *peer {
+	return r.soonest(s.tiers[tierSelf:tierOther], fits, func(p *peer) time.Duration {
+		score := r.completion(p) + r.jitter(tieTime)
+		if p.tier == tierRegion {
+			score += r.zoneWay(c)
+		}
+		r.trace.consider(p, score, p.load(r.now))
+		return score
+	})
+}
+
+// soonest picks the upstream with the lowest score of those that fit, or nil.
+func (r *Reducer) soonest(tiers [][]*peer, fits func(*peer) bool, score func(*peer) time.Duration) *peer {
 	var best *peer
 	var bestScore time.Duration
-	for t := tierSelf; t < tierOther; t++ {
-		for _, p := range s.tiers[t] {
+	for _, peers := range tiers {
+		for _, p := range peers {
 			if !fits(p) || !r.placeable(p) {
 				continue
 			}
-			score := r.completion(p) + r.jitter(tieTime)
-			if t == tierRegion {
-				score += r.zoneWay(c)
-			}
-			r.trace.consider(p, score, p.load(r.now))
-			if best == nil || score < bestScore {
+			if s := score(p); best == nil || s < bestScore {
 				best = p
-				bestScore = score
+				bestScore = s
 			}
 		}
 	}
@@ -112,25 +119,15 @@
 // placeInOtherRegion picks an upstream of another region, or nil. Once the own region has
 // refused a call, only an upstream that seems to have room is worth the way.
 func (r *Reducer) placeInOtherRegion(c *call, s *servicePeers) *peer {
-	if c.leftRegion || (c.kind.kind.Length == LengthLong && len(c.tried) > 0) {
+	if c.leftRegion() || (c.kind.kind.Length == LengthLong && len(c.tried) > 0) {
 		return nil
 	}
-	var best *peer
-	var bestScore time.Duration
-	for _, p := range s.tiers[tierOther] {
-		if c.hasTried(p) || !r.placeable(p) {
-			continue
-		}
-		if len(c.tried) > 0 && p.load(r.now) > remoteRoom*p.slots() {
-			continue
-		}
-		score := r.completion(p) + r.jitter(delayOther)
-		if best == nil || score < bestScore {
-			best = p
-			bestScore = score
-		}
+	fits := func(p *peer) bool {
+		return !c.hasTried(p) && (len(c.tried) == 0 || p.load(r.now) <= remoteRoom*p.slots())
 	}
-	return best
+	return r.soonest(s.tiers[tierOther:], fits, func(p *peer) time.Duration {
+		return r.completion(p) + r.jitter(delayOther)
+	})
 }
 
 // placeable reports whether a routed call may be sent to a peer's upstream.
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -57,11 +57,12 @@
 	load := r.loadReport()
 	changed := load != t.told
 	if !r.now.Before(t.quietDue) || (changed && !r.now.Before(t.nearDue)) {
+		near := r.nearAddresses()
 		t.told = load
-		t.nearDue = r.now.Add(r.nearPeriod())
+		t.nearDue = r.now.Add(r.nearPeriod(len(near)))
 		t.quietDue = r.now.Add(quietReport)
 		members := r.introduction()
-		if near := r.nearAddresses(); len(near) > 0 {
+		if len(near) > 0 {
 			r.emit(TellLoad{Addresses: near, Digest: r.loadDigest(), Members: members})
 		}
 	}
@@ -158,20 +159,14 @@
 	return addresses
 }
 
-// nearPeriod is the time between two reports to the own region: the more peers there
-// are, the longer, so that reports stay within their bound.
-func (r *Reducer) nearPeriod() time.Duration {
+// nearPeriod is the time between two reports to the own region: the more peers it has,
+// the longer, so that reports stay within their bound.
+func (r *Reducer) nearPeriod(peers int) time.Duration {
 	period := r.Settings.ReportNear
 	if r.Settings.ReportsPerSecond <= 0 {
 		return period
 	}
-	near := 0
-	for _, p := range r.members.order {
-		if p.near() {
-			near++
-		}
-	}
-	return max(period, time.Duration(near)*time.Second/time.Duration(r.Settings.ReportsPerSecond))
+	return max(period, time.Duration(peers)*time.Second/time.Duration(r.Settings.ReportsPerSecond))
 }
 
 // introduction returns this node's announcement when it is due with a report.
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -41,11 +41,11 @@
 // retryRouted goes on with a routed call whose attempt did not run. Guards that turn
 // a call away cost the upstreams nothing; upstreams that do draw on the budget.
 func (r *Reducer) retryRouted(c *call, reason RefusalReason, bodySpent bool) {
+	if reason == RefusalBusy {
+		c.busy = append(c.busy, c.attempt.peer)
+	}
 	again := !bodySpent && !c.callerLeft && r.now.Before(c.deadline)
 	switch reason {
-	case RefusalBusy:
-		c.busy = append(c.busy, c.attempt.peer)
-		again = again && !c.final
 	case RefusalShed:
 		c.sends++
 		again = again && r.maySendAgain(c)
