Wait with a context in one place

Four loops had their own timer beside the context: the log's reader and appender, the adapter's retries, and the pause after a configuration.

--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -9,6 +9,7 @@
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
 	"github.com/tanagerline/tanagerline/internal/edge/caller"
 	"github.com/tanagerline/tanagerline/internal/edge/upstream"
+	"github.com/tanagerline/tanagerline/internal/store/stream"
 )
 
 const (
@@ -140,7 +141,9 @@
 			continue
 		}
 		dependency.lost(err)
-		pause(ctx, &retry)
+		if stream.Backoff(ctx, &retry, lastRetry) != nil {
+			return
+		}
 	}
 }
 
@@ -180,7 +183,9 @@
 			return
 		}
 		dependency.lost(err)
-		pause(ctx, &retry)
+		if stream.Backoff(ctx, &retry, lastRetry) != nil {
+			return
+		}
 	}
 }
 
@@ -188,12 +193,13 @@
 func (n *Node) listMembers(ctx context.Context) {
 	dependency := n.dependency("directory")
 	retry := firstRetry
-	period := listingPeriod
 	for ctx.Err() == nil {
 		specs, err := n.Adapter.Directory.Members(ctx)
 		if err != nil {
 			dependency.lost(err)
-			pause(ctx, &retry)
+			if stream.Backoff(ctx, &retry, lastRetry) != nil {
+				return
+			}
 			continue
 		}
 		dependency.regained()
@@ -203,20 +209,10 @@
 			members = append(members, reducer.NewMember(spec))
 		}
 		n.loop.Do(reducer.MembersListed{Members: members})
-		pause(ctx, &period)
-		period = listingPeriod
-	}
-}
-
-// pause waits for about a time, which doubles up to the longest wait for a retry.
-func pause(ctx context.Context, wait *time.Duration) {
-	timer := time.NewTimer(*wait/2 + rand.N(*wait))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		if stream.PauseAbout(ctx, listingPeriod) != nil {
+			return
+		}
 	}
-	*wait = min(2**wait, lastRetry)
 }
 
 // dependency notes when something that the node needs is lost and regained.
--- a/internal/store/stream/append.go
+++ b/internal/store/stream/append.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/samber/oops"
@@ -48,7 +47,7 @@
 				return offset, nil
 			}
 			if err != nil {
-				if wait(ctx, &backoff) != nil {
+				if Backoff(ctx, &backoff, maxAppendBackoff) != nil {
 					return 0, oops.Wrapf(err, "append record %s: given up while the log is unavailable; its state is unknown", record.ID)
 				}
 				continue
@@ -59,7 +58,7 @@
 			return offset, nil
 		}
 		sent = true
-		if wait(ctx, &backoff) != nil {
+		if Backoff(ctx, &backoff, maxAppendBackoff) != nil {
 			return 0, oops.Wrapf(err, "append record %s: given up while the log is unavailable; its state is unknown", record.ID)
 		}
 	}
@@ -85,17 +84,3 @@
 		next = page.Next
 	}
 }
-
-// wait sleeps for a backoff with jitter and doubles it; it returns the context's
-// error when that ends first.
-func wait(ctx context.Context, backoff *time.Duration) error {
-	timer := time.NewTimer(*backoff/2 + rand.N(*backoff))
-	defer timer.Stop()
-	*backoff = min(*backoff*2, maxAppendBackoff)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- /dev/null
+++ b/internal/store/stream/pause_test.go
@@ -0,0 +1,21 @@
+package stream
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBackoffDoublesUpToItsBound(t *testing.T) {
+	c := qt.New(t)
+	backoff := time.Millisecond
+	for _, want := range []time.Duration{2, 4, 5, 5} {
+		c.Assert(Backoff(context.Background(), &backoff, 5*time.Millisecond), qt.IsNil)
+		c.Assert(backoff, qt.Equals, want*time.Millisecond)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(PauseAbout(ended, time.Hour), qt.Equals, context.Canceled)
+}
--- a/internal/store/stream/reader.go
+++ b/internal/store/stream/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
@@ -33,12 +32,8 @@
 		if more {
 			continue
 		}
-		timer := time.NewTimer(r.Period/2 + rand.N(r.Period))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if PauseAbout(ctx, r.Period) != nil {
 			return
-		case <-timer.C:
 		}
 	}
 }
