Ask for an upstream's health in one place

A node that starts asked its server with an HTTP client of the adapter's, beside the guard's own probe. The guard asks now, over its own connections, and the adapter only reads the answer. The request no longer ends its connection: the next attempt may use it.

--- a/internal/edge/upstream/announce.go
+++ b/internal/edge/upstream/announce.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -104,14 +106,43 @@
 	if path == "" {
 		path = "/-/health"
 	}
-	client := http.Client{Transport: g.pool.Load(), Timeout: probeTimeout}
-	resp, err := client.Get("http://" + probe.Upstream + path)
-	if err != nil {
+	status := 0
+	n, err := g.health(context.Background(), probe.Upstream, path, func(resp *http.Response) { status = resp.StatusCode })
+	if status == 0 {
 		g.Loop.Do(reducer.ProbeEnded{})
 		return
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerHeadBytes))
-	_ = resp.Body.Close()
 	const headBytes = 300
-	g.Loop.Do(reducer.ProbeEnded{Healthy: err == nil && resp.StatusCode < 500, Bytes: int(n) + headBytes})
+	g.Loop.Do(reducer.ProbeEnded{Healthy: err == nil && status < 500, Bytes: n + headBytes})
+}
+
+// Find asks an upstream that has not announced itself to this process what it is. One that
+// doesn't tell is an error.
+func (g *Guard) Find(ctx context.Context, service, address, healthPath string) (reducer.UpstreamAnnounced, error) {
+	var identity Identity
+	var unnamed error
+	_, err := g.health(ctx, address, healthPath, func(resp *http.Response) { identity, unnamed = g.Protocol.Identify(resp) })
+	if err = errors.Join(err, unnamed); err != nil {
+		return reducer.UpstreamAnnounced{}, oops.Wrapf(err, "ask upstream %s for its health", address)
+	}
+	return reducer.UpstreamAnnounced{Service: service, Address: address, Slots: identity.Slots, Instance: identity.Instance}, nil
+}
+
+// health asks an upstream's health endpoint, hands over the head of the answer, if one
+// comes, and returns the length of its body.
+func (g *Guard) health(ctx context.Context, address, path string, head func(*http.Response)) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := g.pool.Load().RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	head(resp)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerHeadBytes))
+	return int(n), err
 }
--- a/internal/edge/upstream/guard_test.go
+++ b/internal/edge/upstream/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,6 +24,11 @@
 
 func (wholeProtocol) Whole() bool { return true }
 
+// Identify takes the run that a header names.
+func (wholeProtocol) Identify(resp *http.Response) (Identity, error) {
+	return Identity{Instance: resp.Header.Get("Run"), Slots: 8}, nil
+}
+
 // newServedGuard returns the address of a guard's listener and the count of the requests
 // that its upstream got.
 func newServedGuard(t *testing.T) (string, *atomic.Int64) {
@@ -95,3 +101,24 @@
 		c.Assert(reached.Load(), qt.Equals, int64(0))
 	}
 }
+
+func TestGuardAsksTheHealthPathWhatTheUpstreamIs(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		c.Check(req.URL.Path, qt.Equals, "/health")
+		w.Header().Set("Run", "i-1")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	guard := &Guard{Protocol: wholeProtocol{}}
+	guard.Prepare()
+	found, err := guard.Find(context.Background(), "s1", address, "/health")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found.Slots, qt.Equals, 8)
+	c.Assert(found.Instance, qt.Equals, "i-1")
+	c.Assert(found.Service+" "+found.Address, qt.Equals, "s1 "+address)
+	// An upstream of the node's own protocol announces itself.
+	guard.Protocol = ownProtocol{}
+	_, err = guard.Find(context.Background(), "s1", address, "/health")
+	c.Assert(err, qt.ErrorIs, errNoIdentity)
+}
--- a/internal/edge/upstream/protocol.go
+++ b/internal/edge/upstream/protocol.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -29,6 +30,14 @@
 	Replacement string
 }
 
+// Identity is what an upstream says of itself.
+type Identity struct {
+	// Instance names the upstream's run.
+	Instance string
+	// Slots is how many requests it runs at a time.
+	Slots int
+}
+
 // Protocol is how a guard speaks to its upstream.
 type Protocol interface {
 	// Request completes the headers of a request for an attempt; original are the
@@ -38,6 +47,9 @@
 	Belongs(resp *http.Response, req *http.Request) bool
 	// Judge returns what the answer's head says.
 	Judge(resp *http.Response) Verdict
+	// Identify returns what the answer of the health endpoint says of the upstream. One that
+	// is not well, or doesn't say, is an error.
+	Identify(resp *http.Response) (Identity, error)
 	// Whole reports whether answers are passed on only once they are complete, and then
 	// at once: nothing else is waited for.
 	Whole() bool
@@ -69,5 +81,10 @@
 // Judge takes every answer for one of the request.
 func (ownProtocol) Judge(*http.Response) Verdict { return Verdict{Outcome: reducer.OutcomeRan} }
 
+// Identify takes no answer: an upstream announces itself.
+func (ownProtocol) Identify(*http.Response) (Identity, error) { return Identity{}, errNoIdentity }
+
+var errNoIdentity = errors.New("the health endpoint names no upstream; it announces itself")
+
 // Whole passes answers on as they come.
 func (ownProtocol) Whole() bool { return false }
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -21,9 +21,6 @@
 	// listingPeriod is the time between two readings of the directory: of two members
 	// that start together the later one finds the other there, and introduces itself.
 	listingPeriod = time.Minute
-	// findTimeout bounds the question to the upstream, which announces itself every
-	// second or two.
-	findTimeout = time.Second
 	// watchPeriod is how often a node looks whether it is to wait for plans, and
 	// unwatchedPeriod how often one that is not reads them all the same.
 	watchPeriod     = 200 * time.Millisecond
@@ -53,8 +50,6 @@
 	Upstream upstream.Protocol
 	// Announcements returns the handler of what the upstream says of itself.
 	Announcements func(do func(reducer.Event)) http.Handler
-	// Find asks the upstream on this VM what it is, at its health path.
-	Find func(ctx context.Context, healthPath string) (reducer.UpstreamAnnounced, error)
 	// Ready returns the handler of the platform's question for readiness.
 	Ready func(ready func() bool) http.Handler
 	// Directory is where members find each other.
@@ -113,9 +108,7 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	found, err := n.Adapter.Find(ctx, path)
+	found, err := n.guard.Find(ctx, n.Settings.Service, n.Settings.Upstream, path)
 	if err != nil {
 		n.Logger.Info().Str("event", "upstream-not-found").Err(err).Msgs()
 		return
