--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -35,10 +35,9 @@
 
 // listener returns a listener's address.
 func (r *reader) listener(key string) string {
-	const section = "listen"
-	value := r.required(section, key, "give an IP number and a port, such as 127.0.0.1:9000")
-	if value != "" && !validAddress(value) {
-		r.problem(section, key, fmt.Sprintf("%q is no IP number with a port; write it such as 127.0.0.1:9000", value))
+	value := r.optionalListener(key)
+	if value == "" {
+		r.problem("listen", key, "give an IP number and a port, such as 127.0.0.1:9000")
 	}
 	return value
 }
