Start with a shared retry limit that is a fraction

Cause: [retries] shared was read as a whole number, while the platform's template fills in a figure that may be a fraction. Every node then ended at its start with "is no whole number".

Ruled out: the template; placeholders can't round. link_megabits and share are read as numbers already.

The new test fails before the change with the node's own message.

--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -147,6 +147,12 @@
 	return f
 }
 
+// wholePart returns a limit that counts whole things. The platform may work it out as a share
+// of another figure, so a fraction is allowed and dropped.
+func (r *reader) wholePart(section, key string, otherwise, least, most int) int {
+	return int(r.number(section, key, float64(otherwise), float64(least), float64(most)))
+}
+
 func (r *reader) share(section, key string, otherwise float64) float64 {
 	value := r.text(section, key)
 	if value == "" {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -185,7 +185,7 @@
 	s.ClockSkew = r.duration("keys", "clock_skew", s.ClockSkew, 0, time.Hour)
 	s.MaxKeys = r.integer("keys", "count", s.MaxKeys, 1, 10_000_000)
 	s.MaxAnswerBytes = r.integer("keys", "answer_bytes", s.MaxAnswerBytes, 0, 1<<30)
-	s.SharedRetries = r.integer("retries", "shared", s.SharedRetries, 0, 1_000_000)
+	s.SharedRetries = r.wholePart("retries", "shared", s.SharedRetries, 0, 1_000_000)
 	s.SharedRetryWindow = r.duration("retries", "shared_window", s.SharedRetryWindow, time.Second, time.Hour)
 	s.ReportNear = r.duration("reports", "near", s.ReportNear, 0, 10*time.Second)
 	s.ReportsPerSecond = r.integer("reports", "per_second", s.ReportsPerSecond, 0, 100_000)
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -31,6 +31,15 @@
 	c.Assert(node.Decisions.Sample, qt.Equals, 3)
 }
 
+// TestParseDropsTheFractionOfSharedRetries guards against a node that does not start because
+// the platform's figure is a fraction.
+func TestParseDropsTheFractionOfSharedRetries(t *testing.T) {
+	c := qt.New(t)
+	node, err := Parse([]byte(good + "[retries]\nshared = 157.5\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.Decisions.SharedRetries, qt.Equals, 157)
+}
+
 func TestParseReportsEveryProblem(t *testing.T) {
 	tests := []struct {
 		name    string
