End the reading of a request's body before its handler returns

Cause: a guard that gives up an attempt while its body is on the way, and an entry that answers while its transport still sends the body, return from the handler while another goroutine reads the body. net/http then reads the connection itself and panics with "invalid concurrent Body.Read call", and the answer may be lost.

RequestBody refuses further reads, interrupts the one in progress by a read deadline and waits for it. An attempt that did not run is then answered with Connection: close; otherwise the written answer is flushed and the connection ends, as the next bytes on it belong to the body.

Ruled out: closing req.Body (it is what panics), and full duplex alone. TestHandlerMayEndWhileItsBodyIsRead without the wrapper: panic in the server's log. With it: no panic, the answer arrives, the reader ends.

--- a/internal/mesh/peer/listener.go
+++ b/internal/mesh/peer/listener.go
@@ -53,11 +53,17 @@
 // runAttempt runs an attempt on the upstream of this VM.
 func (l *Listener) runAttempt(w http.ResponseWriter, req *http.Request) {
 	_ = http.NewResponseController(w).EnableFullDuplex()
+	body := NewRequestBody(w, req)
+	defer body.EndOrAbort()
 	resp, err := l.Guard.RoundTrip(req)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if reducer.Outcome(resp.Header.Get(HeaderOutcome)) == reducer.OutcomeNotRun && body.End() {
+		// The guard gave up an attempt while its body was on the way.
+		w.Header().Set("Connection", "close")
+	}
 	WriteHead(w, resp)
 	if _, err := RelayBody(w, resp); err != nil {
 		panic(http.ErrAbortHandler)
