Use a subset of a large service, and report load only to the entries that use it

Cause: with 98 nodes a region, 150 reports a second for all peers are one or two a second for each, and every entry with the same old picture chooses the same upstream. A node also sent a heartbeat to each peer every 400 ms and passed each far report on to all: about 440 datagrams a second, on 0.16 cores.

Now each entry uses six upstreams of its zone, six of the other zones and six of each other region, by rendezvous hashing, so that guards know their users without being told. Load goes to those; others hear a presence report, 50 a second in all, watchers of the plan store each 400 ms. Far reports are passed on to their users, announcements to all. Services that fit are used whole.

Ruled out: sampling upstreams at random for each call (reports to all are needed then), leases for subscriptions (a message and state more).

--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -81,6 +81,9 @@
 	// earliest time at which it may be fetched from there.
 	crossRegionPlanOffset int64
 	crossRegionPlanDue    time.Time
+	// using and others are the addresses of reportReceivers, once receiversKnown.
+	using, others  []string
+	receiversKnown bool
 	// refreshDue is when expiry and outlier ejection run next.
 	refreshDue time.Time
 }
@@ -97,6 +100,9 @@
 	// tiers holds the members by distance, nearest first.
 	tiers [tierCount][]*peer
 	all   []*peer
+	// subset holds the members that this entry sends work to, by distance, once subsetKnown.
+	subset      [tierCount][]*peer
+	subsetKnown bool
 	// medianServiceTime is the median smoothed service time of short work.
 	medianServiceTime time.Duration
 	// roundRobinIndex is the index in all of the last round-robin choice.
@@ -178,6 +184,7 @@
 // rebuildServices rebuilds the services and their tiers, applying the policies of the plan. The
 // median and the round-robin position of each service are kept.
 func (m *membership) rebuildServices(index planIndex) {
+	m.receiversKnown = false
 	services := map[string]*servicePeers{}
 	for _, p := range m.order {
 		name := p.member.Service()
@@ -240,12 +247,14 @@
 
 // dropFromServices removes expired members from the services and their tiers.
 func (m *membership) dropFromServices(expired []*peer) {
+	m.receiversKnown = false
 	gone := func(p *peer) bool { return slices.Contains(expired, p) }
 	for _, s := range m.services {
 		s.all = slices.DeleteFunc(s.all, gone)
 		for i := range s.tiers {
 			s.tiers[i] = slices.DeleteFunc(s.tiers[i], gone)
 		}
+		s.subsetKnown = false
 	}
 }
 
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -46,6 +46,8 @@
 type peer struct {
 	member Member
 	tier   tier
+	// subsetKey is the address's part of the subset order.
+	subsetKey uint64
 	// expires is when the member is removed unless it is announced again.
 	expires time.Time
 	// heardAt is when the peer's own load report last arrived, directly or relayed.
@@ -96,7 +98,7 @@
 
 // newPeer returns a peer without measurements, with a region weight of one.
 func newPeer(member Member, t tier) *peer {
-	return &peer{member: member, tier: t, weight: 1}
+	return &peer{member: member, tier: t, weight: 1, subsetKey: subsetKey(member.ID().Address())}
 }
 
 // announced stores a later announcement of the same process. A different upstream resets
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -67,16 +67,21 @@
 }
 
 // placeInOwnRegion returns the fitting upstream of this region with the earliest estimated
-// completion, or nil.
+// completion, or nil. Only where none of the entry's subset fits it takes any other.
 func (r *Reducer) placeInOwnRegion(c *call, s *servicePeers, fits func(*peer) bool) *peer {
-	return r.lowestScoring(s.tiers[tierSelf:tierOtherRegion], fits, func(p *peer) time.Duration {
+	score := func(p *peer) time.Duration {
 		score := r.estimatedCompletion(p) + r.jitter(completionJitter)
 		if p.tier == tierRegion {
 			score += r.zonePreference(c)
 		}
 		r.trace.addCandidate(p, score, p.load(r.now))
 		return score
-	})
+	}
+	subset := r.members.subset(s)
+	if best := r.lowestScoring(subset[tierSelf:tierOtherRegion], fits, score); best != nil {
+		return best
+	}
+	return r.lowestScoring(s.tiers[tierSelf:tierOtherRegion], fits, score)
 }
 
 // lowestScoring returns the placeable upstream with the lowest score among those that fit, or
@@ -134,9 +139,12 @@
 	fits := func(p *peer) bool {
 		return !c.hasTried(p) && (len(c.tried) == 0 || p.load(r.now) <= maxRemoteLoadPerSlot*p.slots())
 	}
-	return r.lowestScoring(s.tiers[tierOtherRegion:], fits, func(p *peer) time.Duration {
-		return r.estimatedCompletion(p) + r.jitter(latencyOtherRegion)
-	})
+	score := func(p *peer) time.Duration { return r.estimatedCompletion(p) + r.jitter(latencyOtherRegion) }
+	subset := r.members.subset(s)
+	if best := r.lowestScoring(subset[tierOtherRegion:], fits, score); best != nil {
+		return best
+	}
+	return r.lowestScoring(s.tiers[tierOtherRegion:], fits, score)
 }
 
 // placeable reports whether a routed call may be sent to the peer's upstream.
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -12,9 +12,10 @@
 	// introductionPeriod is the time between two reports that carry the announcement when it
 	// has not changed.
 	introductionPeriod = time.Second
-	// farIntroductionPeriod is the same for reports to other regions, which relay it among
-	// their own nodes.
-	farIntroductionPeriod = 3 * time.Second
+	// minFarIntroductionPeriod is the same for reports to other regions, which relay it among
+	// their own nodes. With many nodes it is longer: farIntroductionShare for each of them.
+	minFarIntroductionPeriod = 3 * time.Second
+	farIntroductionShare     = 50 * time.Millisecond
 	// heartbeatPeriod is the time between two reports of an unchanged load, sent as heartbeats.
 	heartbeatPeriod = 400 * time.Millisecond
 	// maxSilenceInRegion and maxSilenceOtherRegion are the times without a report after which a peer of this
@@ -29,8 +30,11 @@
 type reportSchedule struct {
 	// nearDue is the earliest time of the next report of a changed load to this region.
 	nearDue time.Time
-	// heartbeatDue is when a report goes to this region even if the load is unchanged.
+	// heartbeatDue is when a report goes to the entries that use this node's upstream even if
+	// the load is unchanged.
 	heartbeatDue time.Time
+	// presenceDue is when the next report goes to the other nodes of this region.
+	presenceDue time.Time
 	// farDue is when the next report goes to other regions.
 	farDue time.Time
 	// introduceDue is when a report to this region next carries the announcement.
@@ -39,7 +43,7 @@
 	farIntroduceDue time.Time
 	// introduceUntil is the end of the time in which every report carries the announcement.
 	introduceUntil time.Time
-	// lastReported is the load in the last report to this region.
+	// lastReported is the load in the last report to the entries that use this upstream.
 	lastReported LoadReport
 }
 
@@ -47,6 +51,7 @@
 func (r *Reducer) reportSoon() {
 	r.reportSchedule.nearDue = r.now
 	r.reportSchedule.heartbeatDue = r.now
+	r.reportSchedule.presenceDue = r.now
 }
 
 // introduce makes reports to all peers due now and includes the announcement for
@@ -58,24 +63,26 @@
 	r.reportSoon()
 }
 
-// report sends the load to this region when it has changed or a heartbeat is due, and to
-// other regions every ReportFar.
+// report sends the load to the entries of this region that use this node's upstream when it has
+// changed or a heartbeat is due, to the other nodes of the region often enough to show that
+// this node is there, and to other regions every ReportFar.
 func (r *Reducer) report() {
 	if r.Settings.ReportNear <= 0 {
 		return
 	}
 	t := &r.reportSchedule
+	using, others := r.members.reportReceivers()
 	load := r.loadReport()
 	changed := load != t.lastReported
 	if !r.now.Before(t.heartbeatDue) || (changed && !r.now.Before(t.nearDue)) {
-		near := r.nearAddresses()
 		t.lastReported = load
-		t.nearDue = r.now.Add(r.nearPeriod(len(near)))
+		t.nearDue = r.now.Add(r.nearPeriod(len(using)))
 		t.heartbeatDue = r.now.Add(heartbeatPeriod)
-		members := r.introduction()
-		if len(near) > 0 {
-			r.emit(SendLoadReport{Addresses: near, Digest: r.loadDigest(), Members: members})
-		}
+		r.reportTo(using, r.introduction())
+	}
+	if !r.now.Before(t.presenceDue) {
+		t.presenceDue = r.now.Add(r.presencePeriod(len(others)))
+		r.reportTo(others, []Member{r.members.self})
 	}
 	if !r.now.Before(t.farDue) {
 		t.farDue = r.now.Add(r.Settings.ReportFar)
@@ -86,6 +93,23 @@
 	}
 }
 
+// reportTo sends the load to nodes of this region.
+func (r *Reducer) reportTo(addresses []string, members []Member) {
+	if len(addresses) > 0 {
+		r.emit(SendLoadReport{Addresses: addresses, Digest: r.loadDigest(), Members: members})
+	}
+}
+
+// presencePeriod returns the time between two reports to the peers of this region that don't use
+// this node's upstream. All of them count on the few nodes that watch the plan store, which
+// therefore report as often as to entries that use them, as does a node that has changed.
+func (r *Reducer) presencePeriod(peers int) time.Duration {
+	if r.now.Before(r.reportSchedule.introduceUntil) || r.WatchesPlanStore() {
+		return heartbeatPeriod
+	}
+	return max(heartbeatPeriod, time.Duration(peers)*time.Second/presencePerSecond)
+}
+
 // farReceivers is the number of nodes of another region that get a report while a changed
 // announcement is being sent, because one of them may be gone. Otherwise one node gets it.
 const farReceivers = 2
@@ -100,12 +124,18 @@
 	}
 	tell := SendLoadReport{Addresses: addresses, Digest: r.loadDigest()}
 	if r.now.Before(r.reportSchedule.introduceUntil) || !r.now.Before(r.reportSchedule.farIntroduceDue) {
-		r.reportSchedule.farIntroduceDue = r.now.Add(farIntroductionPeriod)
+		r.reportSchedule.farIntroduceDue = r.now.Add(r.farIntroductionPeriod())
 		tell.Members = []Member{r.members.self}
 	}
 	r.emit(tell)
 }
 
+// farIntroductionPeriod returns the time between two reports to other regions that carry an
+// unchanged announcement.
+func (r *Reducer) farIntroductionPeriod() time.Duration {
+	return max(minFarIntroductionPeriod, time.Duration(len(r.members.order))*farIntroductionShare)
+}
+
 // farAddresses returns the addresses in other regions that get the next report: for each
 // region, random nodes among those that reported recently, or among all if none did.
 func (r *Reducer) farAddresses() []string {
@@ -150,30 +180,24 @@
 	return names, heard, silent
 }
 
-// relayReport relays a report that came directly from another region to this region's nodes. A
+// relayReport relays a report that came directly from another region within this region: to the
+// entries that use the peer's upstream, or to all nodes if it carries an announcement. A
 // report whose sender is not the peer itself was relayed already and is not relayed again.
 func (r *Reducer) relayReport(e LoadReportReceived, p *peer) {
 	if p.tier != tierOtherRegion || e.From != p.member.spec.Address {
 		return
 	}
-	if near := r.nearAddresses(); len(near) > 0 {
-		r.emit(SendLoadReport{Addresses: near, Digest: e.Digest, Members: e.Members})
+	receivers, others := r.members.subscribers(p)
+	if len(e.Members) > 0 {
+		receivers = append(receivers, others...)
 	}
-}
-
-// nearAddresses returns the addresses of the other nodes of this region.
-func (r *Reducer) nearAddresses() []string {
-	var addresses []string
-	for _, p := range r.members.order {
-		if p.near() {
-			addresses = append(addresses, p.member.spec.Address)
-		}
+	if len(receivers) > 0 {
+		r.emit(SendLoadReport{Addresses: receivers, Digest: e.Digest, Members: e.Members})
 	}
-	return addresses
 }
 
-// nearPeriod returns the minimum time between two reports of a changed load to this region.
-// It grows with the number of peers, so that the node sends at most ReportsPerSecond.
+// nearPeriod returns the minimum time between two reports of a changed load to the entries that
+// use this upstream. It grows with the number of peers, so that the node sends at most ReportsPerSecond.
 func (r *Reducer) nearPeriod(peers int) time.Duration {
 	period := r.Settings.ReportNear
 	if r.Settings.ReportsPerSecond <= 0 {
