--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -156,7 +156,6 @@
 	r.suspects.init()
 	r.burn.init()
 	r.routedRetryBudgets.init(now)
-	r.trace.init()
 	r.announceSchedule.due = now
 	r.members.exchangeDue = now
 }
--- a/internal/decision/reducer/trace.go
+++ b/internal/decision/reducer/trace.go
@@ -77,8 +77,6 @@
 	candidateCount int
 }
 
-func (t *traceRing) init() { t.steps = make([]traceStep, 0, maxTraceSteps) }
-
 // clearCandidates clears the candidates of the previous choice.
 func (t *traceRing) clearCandidates() { t.candidateCount = 0 }
 
--- a/internal/decision/reducer/watching.go
+++ b/internal/decision/reducer/watching.go
@@ -5,17 +5,14 @@
 // WatchesPlanStore reports whether this node watches the plan store. In each region only the
 // first PlanWatchers nodes by hash do, among those that can reach the store. The others learn
 // of a plan from their peers' reports, and replace a watcher that stops reporting or can no
-// longer reach the store. Until a node has its first plan it counts all peers, and after
-// firstPlanTime it watches the store itself.
+// longer reach the store. Until firstPlanTime all peers count, because a node that has just
+// started does not know yet whether it can reach the store.
 func (r *Reducer) WatchesPlanStore() bool {
-	waiting := r.planInForce.offset == 0
-	if waiting && r.now.Sub(r.startedAt) > firstPlanTime {
-		return true
-	}
+	starting := r.planInForce.offset == 0 && r.now.Sub(r.startedAt) <= firstPlanTime
 	mine := jobHash(watchJob, r.Self.Address)
 	before := 0
 	for _, p := range r.members.order {
-		if !p.near() || (!p.plansReachable && !waiting) || !r.reportedRecently(p) {
+		if !p.near() || (!p.plansReachable && !starting) || !r.reportedRecently(p) {
 			continue
 		}
 		if jobHash(watchJob, p.member.spec.Address) < mine {
@@ -25,9 +22,8 @@
 	return before < r.Settings.PlanWatchers
 }
 
-// firstPlanTime is how long after its start a node without a plan relies on its peers to
-// watch the store: enough for several reads. Each node reads the store once on its own
-// before it knows any peer.
+// firstPlanTime is how long after its start a node without a plan relies on peers of which it
+// does not know that they reach the store: enough for several reads.
 const firstPlanTime = 1500 * time.Millisecond
 
 // watchJob is the job name in the hash that orders the watchers.
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
@@ -25,6 +26,10 @@
 	// unwatchedPeriod how often one that is not reads them all the same.
 	watchPeriod     = 200 * time.Millisecond
 	unwatchedPeriod = time.Minute
+	// listWait is how long a node that starts waits for the directory before it reads
+	// plans, and introductionWait how long after that peers may take to report.
+	listWait         = 600 * time.Millisecond
+	introductionWait = 150 * time.Millisecond
 )
 
 // Directory is where members find each other.
@@ -82,14 +87,31 @@
 
 // runAdapter starts what keeps in touch with the platform's store.
 func (n *Node) runAdapter(ctx context.Context) {
-	n.work.Go(func() { n.watchPlans(ctx) })
+	listed := make(chan struct{})
+	n.work.Go(func() {
+		n.awaitPeers(ctx, listed)
+		n.watchPlans(ctx)
+	})
 	n.work.Go(func() { n.findUpstream(ctx) })
 	n.work.Go(func() {
 		n.announceSelf(ctx)
-		n.listMembers(ctx)
+		n.listMembers(ctx, sync.OnceFunc(func() { close(listed) }))
 	})
 }
 
+// awaitPeers waits until the members were listed and have had the time to answer, so that a node
+// asks the store for plans only where no peer does. Without a list it goes on without them.
+func (n *Node) awaitPeers(ctx context.Context, listed <-chan struct{}) {
+	timer := time.NewTimer(listWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-listed:
+		_ = stream.Sleep(ctx, introductionWait)
+	}
+}
+
 // findUpstream asks the upstream on this VM what it is as soon as a plan tells where: a
 // node that starts again beside it need not wait for its next announcement. One that
 // doesn't answer, or is not well, is left to announce itself.
@@ -182,8 +204,8 @@
 	}
 }
 
-// listMembers reads the directory until the context ends.
-func (n *Node) listMembers(ctx context.Context) {
+// listMembers reads the directory until the context ends and calls listed after each time.
+func (n *Node) listMembers(ctx context.Context, listed func()) {
 	dependency := n.dependency("directory")
 	retry := firstRetry
 	for ctx.Err() == nil {
@@ -202,6 +224,7 @@
 			members = append(members, reducer.NewMember(spec))
 		}
 		n.loop.Do(reducer.MembersListed{Members: members})
+		listed()
 		if stream.SleepJittered(ctx, listingPeriod) != nil {
 			return
 		}
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -21,6 +21,9 @@
 	dialTimeout     = 250 * time.Millisecond
 	idleControlTime = 15 * time.Second
 	idleCallTime    = 60 * time.Second
+	// connectionBufferBytes is the size of each of a connection's two buffers. A node keeps
+	// many idle connections, and long bodies are written and read past the buffers.
+	connectionBufferBytes = 4 << 10
 	// answerHeadBytes bounds the head of an answer.
 	answerHeadBytes = 64 << 10
 )
@@ -67,8 +70,8 @@
 		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: answerHeadBytes,
 		ExpectContinueTimeout:  time.Hour,
-		WriteBufferSize:        16 << 10,
-		ReadBufferSize:         16 << 10,
+		WriteBufferSize:        connectionBufferBytes,
+		ReadBufferSize:         connectionBufferBytes,
 	}
 }
 
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -23,6 +24,10 @@
 	adapter AdapterFactory
 }
 
+// collectAtPercent is how much the heap may grow before it is collected, in percent of what was
+// live: a node allocates little, and its VM's memory belongs to the upstream.
+const collectAtPercent = 50
+
 // AdapterFactory makes the adapter for the platform that a node's settings name.
 type AdapterFactory func(settings.Node) *node.Adapter
 
@@ -49,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectAtPercent)
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
