--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -81,9 +81,8 @@
 	// earliest time at which it may be fetched from there.
 	crossRegionPlanOffset int64
 	crossRegionPlanDue    time.Time
-	// using and others are the addresses of reportReceivers, once receiversKnown.
-	using, others  []string
-	receiversKnown bool
+	// generation counts the changes of the services and of their members, from one.
+	generation int
 	// refreshDue is when expiry and outlier ejection run next.
 	refreshDue time.Time
 }
@@ -184,7 +183,7 @@
 // rebuildServices rebuilds the services and their tiers, applying the policies of the plan. The
 // median and the round-robin position of each service are kept.
 func (m *membership) rebuildServices(index planIndex) {
-	m.receiversKnown = false
+	m.generation++
 	services := map[string]*servicePeers{}
 	for _, p := range m.order {
 		name := p.member.Service()
@@ -247,7 +246,7 @@
 
 // dropFromServices removes expired members from the services and their tiers.
 func (m *membership) dropFromServices(expired []*peer) {
-	m.receiversKnown = false
+	m.generation++
 	gone := func(p *peer) bool { return slices.Contains(expired, p) }
 	for _, s := range m.services {
 		s.all = slices.DeleteFunc(s.all, gone)
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -48,6 +48,9 @@
 	tier   tier
 	// subsetKey is the address's part of the subset order.
 	subsetKey uint64
+	// using and others are the result of reportReceivers at generation receiversAt.
+	using, others []string
+	receiversAt   int
 	// expires is when the member is removed unless it is announced again.
 	expires time.Time
 	// heardAt is when the peer's own load report last arrived, directly or relayed.
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -71,7 +71,7 @@
 		return
 	}
 	t := &r.reportSchedule
-	using, others := r.members.reportReceivers()
+	using, others := r.members.reportReceivers(r.members.peers[r.Self.Address])
 	load := r.loadReport()
 	changed := load != t.lastReported
 	if !r.now.Before(t.heartbeatDue) || (changed && !r.now.Before(t.nearDue)) {
@@ -187,9 +187,9 @@
 	if p.tier != tierOtherRegion || e.From != p.member.spec.Address {
 		return
 	}
-	receivers, others := r.members.subscribers(p)
+	receivers, others := r.members.reportReceivers(p)
 	if len(e.Members) > 0 {
-		receivers = append(receivers, others...)
+		receivers = slices.Concat(receivers, others)
 	}
 	if len(receivers) > 0 {
 		r.emit(SendLoadReport{Addresses: receivers, Digest: e.Digest, Members: e.Members})
--- a/internal/decision/reducer/subset.go
+++ b/internal/decision/reducer/subset.go
@@ -43,7 +43,8 @@
 	mine := subsetOrder(entry, p.subsetKey)
 	before := 0
 	for _, other := range peers {
-		if other == p || other.member.Leaving() || !fits(other) || subsetOrder(entry, other.subsetKey) >= mine {
+		// The cheapest test comes first: this runs for every pair of members.
+		if subsetOrder(entry, other.subsetKey) >= mine || other == p || other.member.Leaving() || !fits(other) {
 			continue
 		}
 		before++
@@ -105,28 +106,22 @@
 	return inSubset(entry.subsetKey, p, s.all, limit, fits)
 }
 
-// subscribers returns the addresses of the near peers whose entries send work to upstream p, and
-// of those whose entries don't.
-func (m *membership) subscribers(p *peer) (using, others []string) {
+// reportReceivers returns the addresses of the near peers whose entries send work to upstream p,
+// this node's own or one of another region, and of those whose entries don't.
+func (m *membership) reportReceivers(p *peer) (using, others []string) {
+	if p.receiversAt == m.generation {
+		return p.using, p.others
+	}
+	p.using, p.others = nil, nil
 	for _, entry := range m.order {
-		if !entry.near() {
-			continue
-		}
-		if p != nil && m.usedBy(entry, p) {
-			using = append(using, entry.member.spec.Address)
-		} else {
-			others = append(others, entry.member.spec.Address)
+		switch {
+		case !entry.near():
+		case m.usedBy(entry, p):
+			p.using = append(p.using, entry.member.spec.Address)
+		default:
+			p.others = append(p.others, entry.member.spec.Address)
 		}
 	}
-	return using, others
-}
-
-// reportReceivers returns the addresses of the near peers that get this node's load as it
-// changes, and of those that only need to know that it is there.
-func (m *membership) reportReceivers() (using, others []string) {
-	if !m.receiversKnown {
-		m.using, m.others = m.subscribers(m.peers[m.self.ID().Address()])
-		m.receiversKnown = true
-	}
-	return m.using, m.others
+	p.receiversAt = m.generation
+	return p.using, p.others
 }
--- a/internal/decision/reducer/subset_test.go
+++ b/internal/decision/reducer/subset_test.go
@@ -65,7 +65,7 @@
 	c.Assert(subset[tierOtherRegion], qt.HasLen, maxOtherRegionSubset)
 	for _, spec := range specs[1 : largeRegionZones*largeRegionPerZone] {
 		guard := largeRegionNode(spec, specs, idleLoad)
-		using, others := guard.members.reportReceivers()
+		using, others := guard.members.reportReceivers(guard.members.peers[spec.Address])
 		c.Assert(len(using)+len(others), qt.Equals, largeRegionZones*largeRegionPerZone-1)
 		used := slices.ContainsFunc(slices.Concat(subset[tierZone], subset[tierRegion]), func(p *peer) bool {
 			return p.member.spec.Address == spec.Address
@@ -83,7 +83,7 @@
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	specs := largeRegionSpecs(now)
 	n := largeRegionNode(specs[0], specs, idleLoad)
-	using, others := n.members.reportReceivers()
+	using, others := n.members.reportReceivers(n.members.peers[specs[0].Address])
 	n.advance(2 * introductionTime)
 	n.step(Tick{})
 	received := map[string]int{}
