--- a/internal/decision/reducer/subset.go
+++ b/internal/decision/reducer/subset.go
@@ -108,7 +108,11 @@
 
 // reportReceivers returns the addresses of the near peers whose entries send work to upstream p,
 // this node's own or one of another region, and of those whose entries don't.
+// Before this node has announced itself, nobody gets reports of it.
 func (m *membership) reportReceivers(p *peer) (using, others []string) {
+	if p == nil {
+		return nil, nil
+	}
 	if p.receiversAt == m.generation {
 		return p.using, p.others
 	}
--- a/internal/decision/reducer/subset_test.go
+++ b/internal/decision/reducer/subset_test.go
@@ -140,3 +140,12 @@
 		c.Assert(count <= largeRegionZones*largeRegionPerZone/3, qt.IsTrue, qt.Commentf("%s was chosen by %d", address, count))
 	}
 }
+
+// TestNodeThatWasNotAnnouncedReportsNothing asks for the receivers of a node that does not
+// know itself yet.
+func TestNodeThatWasNotAnnouncedReportsNothing(t *testing.T) {
+	c := qt.New(t)
+	using, others := newRoutedNode(true).members.reportReceivers(nil)
+	c.Assert(using, qt.HasLen, 0)
+	c.Assert(others, qt.HasLen, 0)
+}
