--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// request is what a client sends in one attempt.
+type request struct {
+	id, method, host, path string
+	header                 map[string]string
+	body                   string
+	deadline               time.Duration
+	chunked, abort         bool
+}
+
+// reply is what a client got.
+type reply struct {
+	status    int
+	signature string
+	body      string
+	err       error
+}
+
+// newID returns the ID of a client attempt.
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// bytes returns the request as it is sent.
+func (r request) bytes() []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.method, r.path, r.host, r.id, r.deadline.Milliseconds())
+	for name, value := range r.header {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	if r.chunked {
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for rest := r.body; rest != ""; {
+			n := min(len(rest), 60_000)
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		b.WriteString("0\r\n\r\n")
+		return []byte(b.String())
+	}
+	if r.method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
+	}
+	b.WriteString("\r\n")
+	b.WriteString(r.body)
+	return []byte(b.String())
+}
+
+// send sends a request on a new connection to the node on machine m and waits for its answer, until
+// a little after the deadline.
+func (f *fleet) send(m *machine, r request) reply {
+	conn, err := net.DialTimeout("tcp", m.address(portCallers), time.Second)
+	if err != nil {
+		f.log.printf("client of %s: %s can't connect: %v", m.name, r.id, err)
+		return reply{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	f.log.printf("client of %s sends %s %s %s%s", m.name, r.id, r.method, r.host, r.path)
+	if r.abort {
+		all := r.bytes()
+		_, _ = conn.Write(all[:len(all)/2])
+		return reply{}
+	}
+	if _, err := conn.Write(r.bytes()); err != nil && r.chunked == false && len(r.body) < 1000 {
+		f.log.printf("client of %s: %s can't be sent: %v", m.name, r.id, err)
+		return reply{err: err}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(r.deadline + time.Second))
+	got := readReply(conn, r.method)
+	f.log.printf("client of %s gets for %s: status %d, signature %q, error %v", m.name, r.id, got.status, got.signature, got.err)
+	return got
+}
+
+// sendAndLeave sends a request on a new connection, closes this side of it after stay, and reads
+// until the node closes the other side. Without trouble the client stays.
+func (f *fleet) sendAndLeave(m *machine, r request, stay time.Duration) reply {
+	conn, err := net.DialTimeout("tcp", m.address(portCallers), time.Second)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	f.log.printf("client of %s sends %s %s %s%s", m.name, r.id, r.method, r.host, r.path)
+	if _, err := conn.Write(r.bytes()); err != nil {
+		return reply{err: err}
+	}
+	if f.trouble {
+		time.Sleep(stay)
+		f.log.printf("client of %s leaves after %s", m.name, stay)
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(r.deadline + time.Second))
+	got := readReply(conn, r.method)
+	f.log.printf("client of %s gets for %s: status %d, signature %q, error %v", m.name, r.id, got.status, got.signature, got.err)
+	return got
+}
+
+// readReply reads one answer.
+func readReply(conn net.Conn, method string) reply {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, signature: resp.Header.Get("X-Response-Signature"), body: string(body), err: err}
+}
