--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
-timeout --kill-after=5 110 "$root/target/review-standin" reset-resend "$root" "$here/record.txt"
+timeout --kill-after=5 110 "$root/target/review-standin" early-rejection "$root" "$here/record.txt"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -267,3 +268,91 @@
 	_, err := io.Copy(io.Discard, req.Body)
 	return err == nil
 }
+
+const (
+	// lossMillionths and lossTime are the doses of the site file: 0.025 of the packets, for 5.5 s.
+	lossMillionths = 25_000
+	lossTime       = 5500 * time.Millisecond
+	losses         = 8
+	// usualRate is how many entries a second the clients of a machine send at usual times.
+	// keptClients send lookups on connections that they keep, keptPause after the last one. Together
+	// they take two thirds of what the four servers can run.
+	usualRate   = 17
+	keptClients = 24
+	keptPause   = 900 * time.Millisecond
+	// lostLimit is how many requests LOST allows.
+	lostLimit = 3
+)
+
+// newEntry returns a request of the route once that differs from all others, with a body of 1.2 to
+// 7.2 KB.
+func newEntry() request {
+	return request{
+		id: newID(), method: "POST", host: host, path: "/sign/" + newID(), deadline: deadline,
+		body: strings.Repeat("entry=1&", 150+rand.IntN(750)),
+	}
+}
+
+// playLossy lets the links between zone amman-a, where the desks are, and amman-b, where the ledgers
+// are, lose packets. The traffic is the usual one all the while.
+func playLossy(f *fleet) (bool, error) {
+	if err := f.build(desk, ledger, desk, ledger, desk, ledger, desk, ledger); err != nil {
+		return false, err
+	}
+	f.store.publish(7, []route{once, often}, []string{desk, ledger, vault})
+	for _, m := range f.machines {
+		m.server.work = func(*http.Request) time.Duration {
+			return time.Duration(40+rand.IntN(50)) * time.Millisecond
+		}
+		link, err := m.link()
+		if err != nil {
+			return false, err
+		}
+		defer link.close()
+	}
+	if err := f.startNodes(); err != nil {
+		return false, err
+	}
+	t := f.newTraffic()
+	stop := make(chan struct{})
+	var restarts sync.WaitGroup
+	var ended atomic.Int64
+	for _, m := range f.machines {
+		t.offerRetrying(m, usualRate, newEntry)
+		if m.service == ledger {
+			t.keepSending(m, keptClients, keptPause, func() request {
+				r := newOften()
+				r.path += newID()
+				return r
+			})
+		}
+		restarts.Go(func() { m.restartUntil(stop, &ended) })
+	}
+	time.Sleep(3 * time.Second)
+	for range losses {
+		f.log.printf("packets between the zones are lost: %t", f.trouble)
+		for _, m := range f.machines {
+			if f.trouble {
+				m.relay.loss.Store(lossMillionths)
+			}
+		}
+		time.Sleep(lossTime)
+		for _, m := range f.machines {
+			m.relay.loss.Store(0)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	sent := t.end()
+	close(stop)
+	restarts.Wait()
+	f.countStatus(sent)
+	lost := 0
+	for _, e := range sent {
+		if e.kept && e.reply.status == 0 && e.machine.ownEnds > 0 && len(f.runs.of(e.request.id)) > 0 {
+			lost++
+			f.log.printf("LOST: %s ran, and the connection of its client at %s ended without an answer: %v", e.request.id, e.machine.name, e.reply.err)
+		}
+	}
+	f.log.printf("%d processes ended by themselves; %d requests from kept connections ran and got no answer", ended.Load(), lost)
+	return ended.Load() > 0 && lost > lostLimit, nil
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -26,6 +27,8 @@
 	signature string
 	body      string
 	err       error
+	// retryAfter is how long the client was told to wait.
+	retryAfter time.Duration
 }
 
 // newID returns the ID of a client attempt.
@@ -112,5 +115,49 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return reply{
+		status: resp.StatusCode, signature: resp.Header.Get("X-Response-Signature"), body: string(body), err: err,
+		retryAfter: time.Duration(seconds * float64(time.Second)),
+	}
+}
+
+// keptConn is a connection that a client keeps for many requests.
+type keptConn struct {
+	fleet  *fleet
+	m      *machine
+	conn   net.Conn
+	reader *bufio.Reader
+	used   bool
+	// closes reports that the last answer bore Connection: close.
+	closes bool
+}
+
+// connect opens a connection to the node on machine m, or returns nil.
+func (f *fleet) connect(m *machine) *keptConn {
+	conn, err := net.DialTimeout("tcp", m.address(portCallers), time.Second)
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+		return nil
+	}
+	return &keptConn{fleet: f, m: m, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// exchange sends a request and waits for its answer.
+func (c *keptConn) exchange(r request) reply {
+	c.used = true
+	if _, err := c.conn.Write(r.bytes()); err != nil {
+		return reply{err: err}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(r.deadline + time.Second))
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
+	if err != nil {
+		c.fleet.log.printf("client of %s gets no answer for %s: %v", c.m.name, r.id, err)
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	c.closes = resp.Close
+	c.fleet.log.printf("client of %s gets for %s: status %d, error %v", c.m.name, r.id, resp.StatusCode, err)
 	return reply{status: resp.StatusCode, signature: resp.Header.Get("X-Response-Signature"), body: string(body), err: err}
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -52,11 +53,14 @@
 	server  *server
 	// announced is where the other nodes reach this one; empty is its own address.
 	announced string
+	relay     *relay
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan error
 	logs   *os.File
+	// ownEnds counts how often the node has ended though nobody stopped it.
+	ownEnds int
 }
 
 func (m *machine) address(port int) string { return m.ip + ":" + strconv.Itoa(m.fleet.port+port) }
@@ -210,6 +214,39 @@
 	m.fleet.log.printf("node %s has ended", m.name)
 }
 
+// restartUntil starts the node again, after a short delay, each time that it ends by itself.
+func (m *machine) restartUntil(stop <-chan struct{}, ended *atomic.Int64) {
+	for {
+		m.mu.Lock()
+		exited := m.exited
+		m.mu.Unlock()
+		select {
+		case <-stop:
+			return
+		case err := <-exited:
+			m.ownEnds++
+			ended.Add(1)
+			m.fleet.log.printf("node %s ended by itself: %v; its last words: %s", m.name, err, m.lastWords())
+		}
+		time.Sleep(500 * time.Millisecond)
+		if err := m.startNode(); err != nil {
+			m.fleet.log.printf("node %s can't be started: %v", m.name, err)
+			return
+		}
+	}
+}
+
+// lastWords returns the line of the node's output that tells of a panic, or nothing.
+func (m *machine) lastWords() string {
+	data, _ := os.ReadFile(filepath.Join(m.fleet.folder, m.name+".log"))
+	at := strings.LastIndex(string(data), "\npanic: ")
+	if at < 0 {
+		return ""
+	}
+	line, _, _ := strings.Cut(string(data[at+1:]), "\n")
+	return line
+}
+
 // startNodes starts all nodes and waits until each is ready and knows its upstream's service.
 func (f *fleet) startNodes() error {
 	for _, m := range f.machines {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 // cases holds each case by the name that its run.sh gives.
 var cases = map[string]func(*fleet) (broken bool, err error){
 	"reset-resend":    playResetResend,
+	"lossy-links":     playLossy,
 	"late-heartbeat":  playLateHeartbeat,
 	"early-rejection": playEarlyRejection,
 }
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -12,6 +12,9 @@
 	request request
 	sentAt  time.Time
 	reply   reply
+	machine *machine
+	// kept reports that the connection had carried a request before.
+	kept bool
 }
 
 // traffic sends requests to nodes for a time, at random moments.
@@ -87,3 +90,64 @@
 	}
 	f.log.printf("%d requests, by status: %v", len(sent), counts)
 }
+
+// keepSending lets a number of clients on machine m send requests one after another, on a connection that
+// each keeps, with a pause between, until the traffic ends.
+func (t *traffic) keepSending(m *machine, clients int, pause time.Duration, next func() request) {
+	for range clients {
+		t.wait.Go(func() {
+			var c *keptConn
+			for {
+				select {
+				case <-t.done:
+					return
+				case <-time.After(time.Duration(rand.ExpFloat64() * float64(pause))):
+				}
+				if c == nil {
+					if c = t.fleet.connect(m); c == nil {
+						continue
+					}
+				}
+				e := exchange{request: next(), sentAt: time.Now(), machine: m, kept: c.used}
+				e.reply = c.exchange(e.request)
+				t.mu.Lock()
+				t.sent = append(t.sent, e)
+				t.mu.Unlock()
+				if e.reply.err != nil || c.closes {
+					_ = c.conn.Close()
+					c = nil
+				}
+			}
+		})
+	}
+}
+
+// offerRetrying sends perSecond requests each second to the node on machine m. A
+// client whose request was refused with a promise sends it once more, when it was told to.
+func (t *traffic) offerRetrying(m *machine, perSecond float64, next func() request) {
+	t.wait.Go(func() {
+		for {
+			select {
+			case <-t.done:
+				return
+			case <-time.After(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second))):
+			}
+			t.wait.Go(func() {
+				r := next()
+				for attempts := 0; attempts < 2 && r.deadline > 0; attempts++ {
+					e := exchange{request: r, sentAt: time.Now(), machine: m}
+					e.reply = t.fleet.send(m, r)
+					t.mu.Lock()
+					t.sent = append(t.sent, e)
+					t.mu.Unlock()
+					if !promisesNotRun(e.reply.status) {
+						return
+					}
+					time.Sleep(e.reply.retryAfter)
+					r.id = newID()
+					r.deadline -= time.Since(e.sentAt)
+				}
+			})
+		}
+	})
+}
