--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -206,12 +206,12 @@
 	exited, process := m.exited, m.cmd.Process
 	m.mu.Unlock()
 	select {
-	case <-exited:
+	case err := <-exited:
+		m.fleet.log.printf("node %s has ended: %v", m.name, err)
 	case <-time.After(within):
 		_ = process.Kill()
-		<-exited
+		m.fleet.log.printf("node %s is killed after %s: %v", m.name, within, <-exited)
 	}
-	m.fleet.log.printf("node %s has ended", m.name)
 }
 
 // restartUntil starts the node again, after a short delay, each time that it ends by itself.
@@ -293,7 +293,8 @@
 	for _, m := range f.machines {
 		if m.exited != nil {
 			select {
-			case <-m.exited:
+			case err := <-m.exited:
+				f.log.printf("node %s is ended with the case: %v", m.name, err)
 			case <-time.After(time.Second):
 			}
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -42,8 +42,9 @@
 
 func (s *store) close() { _ = s.server.Close() }
 
-// publish writes a configuration as the operator does.
-func (s *store) publish(version int, routes []route, services []string) {
+// publish writes the first configuration as the operator does.
+func (s *store) publish(routes []route, services []string) {
+	const version = 7
 	type object = map[string]any
 	var resources []object
 	for i, r := range routes {
