--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -273,7 +273,7 @@
 	// lossMillionths and lossTime are the doses of the site file: 0.025 of the packets, for 5.5 s.
 	lossMillionths = 25_000
 	lossTime       = 5500 * time.Millisecond
-	losses         = 8
+	losses         = 11
 	// usualRate is how many entries a second the clients of a machine send at usual times.
 	// keptClients send lookups on connections that they keep, keptPause after the last one. Together
 	// they take two thirds of what the four servers can run.
