--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -29,6 +29,8 @@
 	// port is the first of the ports that are the same on all machines.
 	port int
 	runs runLedger
+	// over is set once the case ends: no node starts any more.
+	over atomic.Bool
 }
 
 // The ports of a machine, counted from fleet.port.
@@ -173,6 +175,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.fleet.over.Load() {
+		return errors.New("the case is over")
+	}
 	if m.logs == nil {
 		if m.logs, err = os.Create(filepath.Join(m.fleet.folder, m.name+".log")); err != nil {
 			return err
@@ -283,6 +288,7 @@
 
 // end stops what the case started.
 func (f *fleet) end() {
+	f.over.Store(true)
 	for _, m := range f.machines {
 		m.mu.Lock()
 		if m.cmd != nil {
