End the reading of a streamed body before the next attempt sends it

Cause: the attempts of a call read one stream. The entry asked whether it had been read when the refusal arrived. The transport's goroutine, woken by the 100 Continue a moment before, could read after that and took one buffer out of the stream that the second attempt was sending. Chunked framing shows no gap.

The ten damaged uploads that were looked at lacked 32,768 bytes each.

Ruled out: the guard, whose repeats carry no body; the prefix kept of a longer body, which is part of the same stream; http.Transport's own retries, which don't rewind a body that was closed or read.

Fix: each attempt has its own reader, and only the current one may read. endAttempt withdraws it and reports whether a read had begun, in one step under a lock, so that the body is either spent or untouched.

--- a/internal/edge/caller/body.go
+++ b/internal/edge/caller/body.go
@@ -5,7 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 )
 
 // defaultMaxBufferedBytes is the default size limit, in bytes, of a request body that is
@@ -19,9 +19,19 @@
 	buffered      []byte
 	fullyBuffered bool
 	length        int64
-	readStarted   atomic.Bool
+
+	// mu guards the fields below, which concern a streamed body.
+	mu sync.Mutex
+	// current is the reader of the attempt in flight, the only one that may read the stream,
+	// or nil.
+	current *streamReader
+	// readStarted is set once an attempt began to read the stream.
+	readStarted bool
 }
 
+// errAttemptEnded is returned to a transport that reads a streamed body after its attempt has ended.
+var errAttemptEnded = errors.New("the attempt has ended; its body belongs to the next one")
+
 // errBodyTooLong is returned for a body that exceeds the plan's limit.
 var errBodyTooLong = errors.New("longer than the plan allows; send less")
 
@@ -78,11 +88,12 @@
 	return nil
 }
 
-// newReader returns a reader of the body for the next attempt.
+// newReader returns a reader of the body for the next attempt. Earlier readers of a streamed
+// body return errAttemptEnded from then on.
 func (b *requestBody) newReader() io.ReadCloser {
 	switch {
 	case !b.fullyBuffered:
-		return io.NopCloser(&trackedReader{body: b})
+		return io.NopCloser(b.newStreamReader())
 	case b.length == 0:
 		return http.NoBody
 	default:
@@ -90,14 +101,41 @@
 	}
 }
 
-// consumed reports whether the body can no longer be sent because its stream was read.
-func (b *requestBody) consumed() bool { return !b.fullyBuffered && b.readStarted.Load() }
+func (b *requestBody) newStreamReader() *streamReader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current = &streamReader{body: b}
+	return b.current
+}
 
-// trackedReader records the first read of a streamed body.
-type trackedReader struct{ body *requestBody }
+// endAttempt ends the reading of the attempt in flight and reports whether the body is spent,
+// which means that it can't be sent again. The transport may read the body even after it has
+// returned the attempt's answer, so only what endAttempt reports is final.
+func (b *requestBody) endAttempt() (spent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current = nil
+	return b.readStarted
+}
 
-// Read reads from the caller's request body.
-func (t *trackedReader) Read(p []byte) (int, error) {
-	t.body.readStarted.Store(true)
-	return t.body.stream.Read(p)
+// startRead reports whether r may read the stream, which is spent then.
+func (b *requestBody) startRead(r *streamReader) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != r {
+		return false
+	}
+	b.readStarted = true
+	return true
+}
+
+// streamReader reads a streamed body for one attempt.
+type streamReader struct{ body *requestBody }
+
+// Read reads from the caller's request body. It returns errAttemptEnded once the attempt has ended.
+func (r *streamReader) Read(p []byte) (int, error) {
+	if !r.body.startRead(r) {
+		return 0, errAttemptEnded
+	}
+	return r.body.stream.Read(p)
 }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		cancel()
 		x.entry.Loop.Do(reducer.AttemptLost{
-			Call: e.Call, Attempt: e.Attempt, Sent: connected.Load(), BodySpent: x.body.consumed(),
+			Call: e.Call, Attempt: e.Attempt, Sent: connected.Load(), BodySpent: x.body.endAttempt(),
 		})
 		return
 	}
@@ -175,7 +175,7 @@
 	if resp.Header.Get(peer.HeaderAttempt) != string(e.Attempt) {
 		// The answer is not the guard's answer to this attempt, so the outcome is unknown.
 		_ = resp.Body.Close()
-		x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.consumed()})
+		x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
 		return
 	}
 	load, err := reducer.ParseLoadReport(resp.Header.Get(peer.HeaderLoad))
@@ -186,7 +186,7 @@
 	case reducer.OutcomeRan:
 		if x.entry.Protocol.BuffersAnswers() && peer.ReadWhole(resp) != nil {
 			// A truncated answer may be retried: nothing of it has been sent to the caller.
-			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.consumed()})
+			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
 			return
 		}
 		x.resp = resp
@@ -196,7 +196,7 @@
 	case reducer.OutcomeNotRun:
 		drain(resp)
 		x.entry.Loop.Do(reducer.AttemptRefused{
-			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.consumed(),
+			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(),
 			Reason: reducer.RefusalReason(resp.Header.Get(peer.HeaderReason)),
 		})
 	default:
@@ -206,7 +206,7 @@
 			crash = 0
 		}
 		x.entry.Loop.Do(reducer.AttemptLost{
-			Call: e.Call, Attempt: e.Attempt, Sent: true, Dispatched: true, Crash: crash, BodySpent: x.body.consumed(),
+			Call: e.Call, Attempt: e.Attempt, Sent: true, Dispatched: true, Crash: crash, BodySpent: x.body.endAttempt(),
 		})
 	}
 }
@@ -264,7 +264,7 @@
 	defer cancel()
 	outcome := x.entry.Mesh.Settle(ctx, e)
 	x.entry.Loop.Do(reducer.AttemptSettled{
-		Call: e.Call, Attempt: e.Attempt, Outcome: outcome, BodySpent: x.body.consumed(),
+		Call: e.Call, Attempt: e.Attempt, Outcome: outcome, BodySpent: x.body.endAttempt(),
 	})
 }
 
@@ -294,7 +294,7 @@
 	}
 	if resp.Header.Get(peer.HeaderNotHome) != "" {
 		drain(resp)
-		if x.body.consumed() {
+		if x.body.endAttempt() {
 			x.entry.Loop.Do(reducer.HomeLost{Call: e.Call, Sent: true})
 			return false
 		}
