Keep a leaving upstream out across a restart of its node

What callers could see: a node acknowledges that its server leaves and is then stopped and started beside it. A heartbeat from before the leaving, which arrives at the new process, makes the server ready again until it exits.

Cause: the acknowledgement lived in the process that gave it. The new process takes the first heartbeat, or a health check that says well, for the truth.

Evidence: TestAcknowledgedLeavingHoldsAcrossRestart, with real processes.

Ruled out: the member record of the old process at the peers. The new process replaces it there with its first announcement, and "leaving" in it also means a node that stops.

Fix: the reducer remembers the run (instance and start) that announced its leaving; no later announcement of that run brings it back. The run is stored in the directory, one write a leaving, beside the members that a process reads at its start anyway.

Upstreams without an instance ID (the native interface) may still come back after draining, as before.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -330,7 +330,7 @@
 // upstream answers, until it announces itself.
 func (r *Reducer) upstreamReplaced(e UpstreamReplaced) {
 	g := &r.guard
-	if g.instance == "" || g.instance == e.Instance || g.upstreamDown {
+	if g.run.instance == "" || g.run.instance == e.Instance || g.upstreamDown {
 		return
 	}
 	g.upstreamDown = true
--- a/internal/decision/reducer/announce.go
+++ b/internal/decision/reducer/announce.go
@@ -41,7 +41,7 @@
 	r.Self.Service = r.guard.service
 	r.Self.Upstream = r.guard.upstream
 	r.Self.Slots = r.guard.slots
-	r.Self.Instance = r.guard.instance
+	r.Self.Instance = r.guard.run.instance
 	r.Self.Leaving = r.upstreamLeaving() || r.guard.upstreamDown
 	r.noteDecision(Decision{
 		Kind: DecisionUpstreamChanged, Service: r.Self.Service, Peer: r.Self.Upstream, Reason: r.upstreamState(),
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -216,6 +216,9 @@
 		Draining bool
 		// Instance identifies the upstream process, or is empty.
 		Instance string
+		// Started is the start time of that process by its own clock, or the latest possible one;
+		// zero means unknown.
+		Started time.Time
 	}
 
 	// UpstreamFound reports the reply of a running upstream that has not announced itself
@@ -312,7 +315,11 @@
 	PlanStoreReachable struct{ Reached bool }
 
 	// MembersListed delivers the entries of the member directory.
-	MembersListed struct{ Members []Member }
+	MembersListed struct {
+		Members []Member
+		// LeavingRun is the run that a process at this node's address stored last as leaving.
+		LeavingRun UpstreamRun
+	}
 
 	// LoadReportReceived delivers a peer's load report.
 	LoadReportReceived struct {
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -46,8 +46,10 @@
 	// answeredAt is when the upstream last answered, announced itself or passed a health
 	// check.
 	answeredAt time.Time
-	// instance identifies the upstream's process, or is empty.
-	instance  string
+	// run identifies the upstream's process, as far as it is known.
+	run UpstreamRun
+	// leaving is the last run that announced its leaving, or empty.
+	leaving   UpstreamRun
 	admission admission
 }
 
@@ -333,7 +335,7 @@
 	r.attemptRecords.started(w)
 	r.counts.Started++
 	r.noteWorkDecision(DecisionWorkStarted, w, "")
-	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.instance})
+	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.run.instance})
 }
 
 // workEnded frees the slot of an attempt, records its outcome and starts queued work.
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -1,10 +1,15 @@
 package reducer
 
 // upstreamAnnounced applies an announcement of the upstream. A new or restarted upstream
-// starts its warm-up; its short and long service times, pace and failure share are reset.
+// starts its warm-up; its short and long service times, pace and failure share are reset. A run
+// that is leaving stays so, whatever it announces later.
 func (r *Reducer) upstreamAnnounced(e UpstreamAnnounced) {
 	g := &r.guard
-	fresh := g.service != e.Service || g.upstream != e.Address || g.instance != e.Instance || g.upstreamDown
+	run := NewUpstreamRun(e.Instance, e.Started)
+	if e.Draining {
+		r.recordLeave(run)
+	}
+	fresh := g.service != e.Service || g.upstream != e.Address || g.run.instance != e.Instance || g.upstreamDown
 	if fresh {
 		g.warmupStart = r.now
 		g.shortTime = 0
@@ -12,12 +17,13 @@
 		g.admission.pace = 0
 		g.admission.failures = 0
 	}
-	changed := fresh || g.slots != e.Slots || g.draining != e.Draining
+	draining := e.Draining || g.leaving.covers(run)
+	changed := fresh || g.slots != e.Slots || g.draining != draining
 	g.service = e.Service
 	g.upstream = e.Address
-	g.instance = e.Instance
+	g.run = run
 	g.slots = e.Slots
-	g.draining = e.Draining
+	g.draining = draining
 	g.upstreamDown = false
 	g.answeredAt = r.now
 	if changed {
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -32,12 +32,17 @@
 	introductionWait = 150 * time.Millisecond
 )
 
-// Directory is where members find each other.
+// Directory is where members find each other, and where a process leaves what the next one at its
+// address has to know.
 type Directory interface {
 	// Announce names a member; it may be repeated.
 	Announce(ctx context.Context, member reducer.MemberSpec) error
-	// Members returns every member that was announced.
-	Members(ctx context.Context) ([]reducer.MemberSpec, error)
+	// Members returns every member that was announced, and by member address the last run that
+	// was stored as leaving.
+	Members(ctx context.Context) (members []reducer.MemberSpec, leaving map[string]reducer.UpstreamRun, err error)
+	// StoreLeavingRun stores that a run of the upstream beside the member at address is leaving; it
+	// may be repeated.
+	StoreLeavingRun(ctx context.Context, address string, run reducer.UpstreamRun) error
 }
 
 // Plans is where operators publish plans.
@@ -189,10 +194,22 @@
 func (n *Node) announceSelf(ctx context.Context) {
 	var self reducer.MemberSpec
 	n.loop.Inspect(func(r *reducer.Reducer) { self = r.Self })
+	n.writeDirectory(ctx, func() error { return n.Adapter.Directory.Announce(ctx, self) })
+}
+
+// storeLeavingRun stores in the directory that a run of the upstream is leaving.
+func (n *Node) storeLeavingRun(ctx context.Context, run reducer.UpstreamRun) {
+	n.writeDirectory(ctx, func() error {
+		return n.Adapter.Directory.StoreLeavingRun(ctx, n.entry.Self.Address(), run)
+	})
+}
+
+// writeDirectory repeats a write to the directory until it succeeds or the context ends.
+func (n *Node) writeDirectory(ctx context.Context, write func() error) {
 	dependency := n.dependency("directory")
 	retry := firstRetry
 	for ctx.Err() == nil {
-		err := n.Adapter.Directory.Announce(ctx, self)
+		err := write()
 		if err == nil {
 			dependency.regained()
 			return
@@ -209,7 +226,7 @@
 	dependency := n.dependency("directory")
 	retry := firstRetry
 	for ctx.Err() == nil {
-		specs, err := n.Adapter.Directory.Members(ctx)
+		specs, leaving, err := n.Adapter.Directory.Members(ctx)
 		if err != nil {
 			dependency.lost(err)
 			if stream.SleepBackoff(ctx, &retry, lastRetry) != nil {
@@ -223,7 +240,7 @@
 		for _, spec := range specs {
 			members = append(members, reducer.NewMember(spec))
 		}
-		n.loop.Do(reducer.MembersListed{Members: members})
+		n.loop.Do(reducer.MembersListed{Members: members, LeavingRun: leaving[n.entry.Self.Address()]})
 		listed()
 		if stream.SleepJittered(ctx, listingPeriod) != nil {
 			return
