--- a/internal/decision/reducer/announce.go
+++ b/internal/decision/reducer/announce.go
@@ -44,7 +44,7 @@
 	r.Self.Instance = r.guard.run.instance
 	r.Self.Leaving = r.upstreamLeaving() || r.guard.upstreamDown
 	r.noteDecision(Decision{
-		Kind: DecisionUpstreamChanged, Service: r.Self.Service, Peer: r.Self.Upstream, Reason: r.upstreamState(),
+		Kind: DecisionUpstreamChanged, Service: r.Self.Service, Peer: r.Self.Upstream, Instance: r.Self.Instance, Reason: r.upstreamState(),
 		Plan: r.planInForce.offset, Load: float64(r.guard.slots),
 	})
 	r.members.self = NewMember(r.Self)
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -47,6 +47,8 @@
 	// Peer is the address of the node or upstream that the decision is about, or the
 	// member's node ID for DecisionMemberChanged.
 	Peer string
+	// Instance identifies the upstream's process for DecisionUpstreamChanged, if it is known.
+	Instance string
 	// Reason is mostly a problem, refusal reason or outcome, or several with commas. For
 	// DecisionPlanActivated it is the plan's ID, for DecisionRequestSuspected the request's fingerprint.
 	Reason string
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -51,6 +51,7 @@
 	writeText(line, "service", decided.Service)
 	writeText(line, "route", decided.Route)
 	writeText(line, "peer", decided.Peer)
+	writeText(line, "instance", decided.Instance)
 	writeText(line, "reason", decided.Reason)
 	line = line.Int64("plan", decided.Plan).Float64("load", decided.Load)
 	writeTime(line, "report_age", decided.ReportAge)
