--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -52,6 +52,8 @@
 	// Reason is mostly a problem, refusal reason or outcome, or several with commas. For
 	// DecisionPlanActivated it is the plan's ID, for DecisionRequestSuspected the request's fingerprint.
 	Reason string
+	// BodySpent is set if the call can't be sent again because its body was read from the caller.
+	BodySpent bool
 	// Plan is the offset of the plan in force.
 	Plan int64
 	// Load is the number of attempts at the upstream, as known to the deciding role. It is
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -31,7 +31,7 @@
 	a := c.attempt
 	r.endAttempt(c)
 	r.trace.addRefusal(r.now, c, a.peer, e.Reason)
-	r.noteCallDecision(DecisionAttemptRefused, c, Decision{Reason: string(e.Reason), Load: float64(e.Load.short)})
+	r.noteCallDecision(DecisionAttemptRefused, c, Decision{Reason: string(e.Reason), Load: float64(e.Load.short), BodySpent: e.BodySpent})
 	if a.replay {
 		r.reject(c, OutcomeUnknown, ProblemAnswerNotKept)
 		return
@@ -81,7 +81,7 @@
 	r.endAttempt(c)
 	r.addSuspect(c.fingerprint, e.Crash)
 	r.trace.add(r.now, c, a.peer, TraceLost)
-	r.noteCallDecision(DecisionAttemptLost, c, Decision{Reason: lostReason(e)})
+	r.noteCallDecision(DecisionAttemptLost, c, Decision{Reason: lostReason(e), BodySpent: e.BodySpent})
 	if !a.replay && !c.callerLeft {
 		// An attempt that the deadline cut off is not a failure of the upstream.
 		failed := r.now.Before(c.deadline)
@@ -131,7 +131,7 @@
 		return
 	}
 	r.trace.addSettled(r.now, c, c.attempt.peer, e.Outcome)
-	r.noteCallDecision(DecisionAttemptSettled, c, Decision{Reason: string(e.Outcome)})
+	r.noteCallDecision(DecisionAttemptSettled, c, Decision{Reason: string(e.Outcome), BodySpent: e.BodySpent})
 	switch e.Outcome {
 	case OutcomeNotRun:
 		if c.route != nil {
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -53,6 +53,9 @@
 	writeText(line, "peer", decided.Peer)
 	writeText(line, "instance", decided.Instance)
 	writeText(line, "reason", decided.Reason)
+	if decided.BodySpent {
+		line.Str("body", "spent")
+	}
 	line = line.Int64("plan", decided.Plan).Float64("load", decided.Load)
 	writeTime(line, "report_age", decided.ReportAge)
 	writeTime(line, "expected", decided.Expected)
