Remember every acknowledged deregistration, whichever run it is about

What callers could see: requests reach a server after its leaving was acknowledged. At a new process a late heartbeat of the run before, which has ended, comes first; then the deregistration of the present run, then a late heartbeat of it.

Cause: a deregistration counted only for the latest known run. One of another ID was taken for an earlier run's, answered with 200 and dropped; the heartbeat after it made the run ready.

Fix: a deregistration is an event of its own, which names its run and says nothing of the upstream else. The reducer remembers the last four runs that left, and those that an earlier process stored are added to them, so no order of messages takes one away.

--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -273,38 +273,38 @@
 		Members   []Member
 	}
 
-	// StoreLeavingRun stores the run of this node's upstream that is leaving, for the next process
-	// at this node's address.
-	StoreLeavingRun struct{ Run UpstreamRun }
+	// StoreLeavingRuns stores the last runs of this node's upstream that announced their leaving,
+	// for the next process at this node's address.
+	StoreLeavingRuns struct{ Runs []UpstreamRun }
 
 	// Stopped reports that the graceful stop is complete and the process may exit.
 	Stopped struct{}
 )
 
-func (SendAttempt) effect()     {}
-func (ForwardCall) effect()     {}
-func (RelayAnswer) effect()     {}
-func (SettleAttempt) effect()   {}
-func (RejectCall) effect()      {}
-func (CancelCall) effect()      {}
-func (KeysIssued) effect()      {}
-func (StartWork) effect()       {}
-func (RequestBody) effect()     {}
-func (RefuseWork) effect()      {}
-func (ReplayWork) effect()      {}
-func (SettleReply) effect()     {}
-func (ProbeUpstream) effect()   {}
-func (AppendRecord) effect()    {}
-func (SendExchange) effect()    {}
-func (ExchangeReply) effect()   {}
-func (OfferHandover) effect()   {}
-func (HandoverReply) effect()   {}
-func (OfferAnswers) effect()    {}
-func (AnswersReply) effect()    {}
-func (SendSuspect) effect()     {}
-func (SendLoadReport) effect()  {}
-func (StoreLeavingRun) effect() {}
-func (Stopped) effect()         {}
+func (SendAttempt) effect()      {}
+func (ForwardCall) effect()      {}
+func (RelayAnswer) effect()      {}
+func (SettleAttempt) effect()    {}
+func (RejectCall) effect()       {}
+func (CancelCall) effect()       {}
+func (KeysIssued) effect()       {}
+func (StartWork) effect()        {}
+func (RequestBody) effect()      {}
+func (RefuseWork) effect()       {}
+func (ReplayWork) effect()       {}
+func (SettleReply) effect()      {}
+func (ProbeUpstream) effect()    {}
+func (AppendRecord) effect()     {}
+func (SendExchange) effect()     {}
+func (ExchangeReply) effect()    {}
+func (OfferHandover) effect()    {}
+func (HandoverReply) effect()    {}
+func (OfferAnswers) effect()     {}
+func (AnswersReply) effect()     {}
+func (SendSuspect) effect()      {}
+func (SendLoadReport) effect()   {}
+func (StoreLeavingRuns) effect() {}
+func (Stopped) effect()          {}
 
 // ForCall returns the ID of the call whose handler executes the effect.
 func (e SendAttempt) ForCall() CallID { return e.Call }
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -221,6 +221,10 @@
 		Started time.Time
 	}
 
+	// UpstreamLeft reports that a run of the upstream wants no new work any more. It may not be
+	// the current one.
+	UpstreamLeft struct{ Run UpstreamRun }
+
 	// UpstreamFound reports the reply of a running upstream that has not announced itself
 	// to this process, as happens after a restart of the node alone.
 	UpstreamFound struct{ Announced UpstreamAnnounced }
@@ -317,8 +321,8 @@
 	// MembersListed delivers the entries of the member directory.
 	MembersListed struct {
 		Members []Member
-		// LeavingRun is the run that a process at this node's address stored last as leaving.
-		LeavingRun UpstreamRun
+		// LeavingRuns are the runs that a process at this node's address stored last as leaving.
+		LeavingRuns []UpstreamRun
 	}
 
 	// LoadReportReceived delivers a peer's load report.
@@ -362,6 +366,7 @@
 func (WorkLeft) event()           {}
 func (SettleRequested) event()    {}
 func (UpstreamAnnounced) event()  {}
+func (UpstreamLeft) event()       {}
 func (UpstreamFound) event()      {}
 func (UpstreamDied) event()       {}
 func (UpstreamReplaced) event()   {}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -48,8 +48,8 @@
 	answeredAt time.Time
 	// run identifies the upstream's process, as far as it is known.
 	run UpstreamRun
-	// leaving is the last run that announced its leaving, or empty.
-	leaving   UpstreamRun
+	// leaving holds the runs that announced their leaving, the current one or others.
+	leaving   leavingRuns
 	admission admission
 }
 
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -124,7 +124,7 @@
 	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
-	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded:
+	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded:
 		r.stepGuard(e)
 	default:
 		r.stepMember(e)
@@ -205,6 +205,8 @@
 		r.settleRequested(e)
 	case UpstreamAnnounced:
 		r.upstreamAnnounced(e)
+	case UpstreamLeft:
+		r.upstreamLeft(e)
 	case UpstreamFound:
 		r.upstreamFound(e)
 	case UpstreamDied:
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -287,11 +287,11 @@
 	return r.now.Sub(p.heardAt) < limit
 }
 
-// membersListed applies the record of an upstream that is leaving, and adds the members of a
+// membersListed applies the record of runs that are leaving, and adds the members of a
 // directory whose addresses are unknown. For known addresses the peers' own announcements are more
 // current.
 func (r *Reducer) membersListed(e MembersListed) {
-	r.leavingRunListed(e.LeavingRun)
+	r.leavingRunsListed(e.LeavingRuns)
 	for _, m := range e.Members {
 		if r.members.peers[m.ID().Address()] == nil {
 			r.memberAnnounced(m)
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -17,7 +17,7 @@
 		g.admission.pace = 0
 		g.admission.failures = 0
 	}
-	draining := e.Draining || g.leaving.covers(run)
+	draining := e.Draining || g.leaving.include(run)
 	changed := fresh || g.slots != e.Slots || g.draining != draining
 	g.service = e.Service
 	g.upstream = e.Address
--- a/internal/decision/reducer/upstreamrun.go
+++ b/internal/decision/reducer/upstreamrun.go
@@ -1,6 +1,13 @@
 package reducer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxLeavingRuns limits the leaving runs that a node remembers. Runs of one upstream follow each
+// other, so only messages about the last few can still arrive.
+const maxLeavingRuns = 4
 
 // UpstreamRun identifies one run of an upstream process.
 type UpstreamRun struct {
@@ -21,31 +28,61 @@
 // Started returns the start time, or the zero time if it is unknown.
 func (u UpstreamRun) Started() time.Time { return u.started }
 
-// covers reports whether other may be the same run as u: it has the same ID and did not start
-// later. A run without an ID is never covered.
+// covers reports whether other may be the same run as u, or an earlier one with its ID: it did not
+// start later. A run without an ID is never covered.
 func (u UpstreamRun) covers(other UpstreamRun) bool {
 	return u.instance != "" && u.instance == other.instance && !other.started.After(u.started)
 }
 
-// recordLeave remembers the run as leaving for good: a run that is about to exit never takes new
-// work again. The record is stored outside the process, so that the node's next process knows it.
+// leavingRuns holds the last runs that announced their leaving, oldest first. A run that leaves never
+// takes new work again, whatever it announces later.
+type leavingRuns []UpstreamRun
+
+// include reports whether the run is leaving.
+func (l leavingRuns) include(run UpstreamRun) bool {
+	return slices.ContainsFunc(l, func(left UpstreamRun) bool { return left.covers(run) })
+}
+
+// add remembers a run and reports whether it was unknown. A run without an ID is not remembered.
+func (l *leavingRuns) add(run UpstreamRun) bool {
+	if run.instance == "" || l.include(run) {
+		return false
+	}
+	runs := slices.DeleteFunc(*l, run.covers)
+	if len(runs) == maxLeavingRuns {
+		runs = slices.Delete(runs, 0, 1)
+	}
+	*l = append(runs, run)
+	return true
+}
+
+// recordLeave remembers that a run is leaving. The runs are also stored outside the process, so that
+// the node's next process knows them.
 func (r *Reducer) recordLeave(run UpstreamRun) {
-	if run.instance == "" || r.guard.leaving.covers(run) {
-		return
+	if r.guard.leaving.add(run) {
+		r.emit(StoreLeavingRuns{Runs: slices.Clone(r.guard.leaving)})
 	}
-	r.guard.leaving = run
-	r.emit(StoreLeavingRun{Run: run})
 }
 
-// leavingRunListed applies the record of an earlier process at this node's address, unless this
-// process has recorded a run itself.
-func (r *Reducer) leavingRunListed(run UpstreamRun) {
-	g := &r.guard
-	if g.leaving.instance != "" || run.instance == "" {
-		return
+// upstreamLeft applies the notice that a run of the upstream is leaving, which may not be the
+// current one.
+func (r *Reducer) upstreamLeft(e UpstreamLeft) {
+	r.recordLeave(e.Run)
+	r.drainLeavingUpstream()
+}
+
+// leavingRunsListed applies the record of an earlier process at this node's address.
+func (r *Reducer) leavingRunsListed(runs []UpstreamRun) {
+	for _, run := range runs {
+		r.guard.leaving.add(run)
 	}
-	g.leaving = run
-	if g.draining || !run.covers(g.run) {
+	r.drainLeavingUpstream()
+}
+
+// drainLeavingUpstream refuses further work if the current run of the upstream is leaving.
+func (r *Reducer) drainLeavingUpstream() {
+	g := &r.guard
+	if g.draining || !g.leaving.include(g.run) {
 		return
 	}
 	g.draining = true
--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -37,12 +37,12 @@
 type Directory interface {
 	// Announce names a member; it may be repeated.
 	Announce(ctx context.Context, member reducer.MemberSpec) error
-	// Members returns every member that was announced, and by member address the last run that
-	// was stored as leaving.
-	Members(ctx context.Context) (members []reducer.MemberSpec, leaving map[string]reducer.UpstreamRun, err error)
-	// StoreLeavingRun stores that a run of the upstream beside the member at address is leaving; it
-	// may be repeated.
-	StoreLeavingRun(ctx context.Context, address string, run reducer.UpstreamRun) error
+	// Members returns every member that was announced, and by member address the runs that were
+	// stored last as leaving.
+	Members(ctx context.Context) (members []reducer.MemberSpec, leaving map[string][]reducer.UpstreamRun, err error)
+	// StoreLeavingRuns stores the runs of the upstream beside the member at address that are
+	// leaving; it may be repeated.
+	StoreLeavingRuns(ctx context.Context, address string, runs []reducer.UpstreamRun) error
 }
 
 // Plans is where operators publish plans.
@@ -197,10 +197,10 @@
 	n.writeDirectory(ctx, func() error { return n.Adapter.Directory.Announce(ctx, self) })
 }
 
-// storeLeavingRun stores in the directory that a run of the upstream is leaving.
-func (n *Node) storeLeavingRun(ctx context.Context, run reducer.UpstreamRun) {
+// storeLeavingRuns stores in the directory which runs of the upstream are leaving.
+func (n *Node) storeLeavingRuns(ctx context.Context, runs []reducer.UpstreamRun) {
 	n.writeDirectory(ctx, func() error {
-		return n.Adapter.Directory.StoreLeavingRun(ctx, n.entry.Self.Address(), run)
+		return n.Adapter.Directory.StoreLeavingRuns(ctx, n.entry.Self.Address(), runs)
 	})
 }
 
@@ -240,7 +240,7 @@
 		for _, spec := range specs {
 			members = append(members, reducer.NewMember(spec))
 		}
-		n.loop.Do(reducer.MembersListed{Members: members, LeavingRun: leaving[n.entry.Self.Address()]})
+		n.loop.Do(reducer.MembersListed{Members: members, LeavingRuns: leaving[n.entry.Self.Address()]})
 		listed()
 		if stream.SleepJittered(ctx, listingPeriod) != nil {
 			return
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -180,9 +180,9 @@
 		go n.warn("answers-not-moved", func() error { return n.client.OfferAnswers(e) })
 	case reducer.ProbeUpstream:
 		go n.guard.Probe(e)
-	case reducer.StoreLeavingRun:
+	case reducer.StoreLeavingRuns:
 		if n.Adapter != nil {
-			go n.storeLeavingRun(ctx, e.Run)
+			go n.storeLeavingRuns(ctx, e.Runs)
 		}
 	case reducer.AppendRecord:
 		go n.append(ctx, e)
