--- a/internal/decision/reducer/upstreamrun.go
+++ b/internal/decision/reducer/upstreamrun.go
@@ -48,11 +48,11 @@
 	if run.instance == "" || l.include(run) {
 		return false
 	}
-	runs := slices.DeleteFunc(*l, run.covers)
-	if len(runs) == maxLeavingRuns {
-		runs = slices.Delete(runs, 0, 1)
+	*l = slices.DeleteFunc(*l, run.covers)
+	if len(*l) == maxLeavingRuns {
+		*l = slices.Delete(*l, 0, 1)
 	}
-	*l = append(runs, run)
+	*l = append(*l, run)
 	return true
 }
 
