Log what the outcome of an attempt was concluded from, and attempts that come twice

The guard's lines could not tell these apart: work-ended had neither the upstream's status nor the reason of its outcome, a copy had no line, and its refusal named no request.

work-ended now has basis, status and skipped; work-repeated reports a copy and what became of the first; refusals of copies carry their IDs.

No decision changes: the status in WorkEnded is now also set for answers that are not passed on, where the outcome alone counts as a failure already.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -164,7 +164,7 @@
 		r.guard.attempts[w.id] = w
 		record.waitingReplays = append(record.waitingReplays, w.id)
 	default:
-		r.answerReplay(w.id, record)
+		r.answerReplay(w, record)
 	}
 }
 
@@ -177,25 +177,26 @@
 	waitingReplays := record.waitingReplays
 	record.waitingReplays = nil
 	for _, id := range waitingReplays {
-		if r.guard.attempts[id] == nil {
+		w := r.guard.attempts[id]
+		if w == nil {
 			continue
 		}
 		delete(r.guard.attempts, id)
-		r.answerReplay(id, record)
+		r.answerReplay(w, record)
 	}
 	r.attemptRecords.evictAnswers(r.Settings.MaxAnswerBytes)
 }
 
 // answerReplay answers a resend with the kept answer, or refuses it if the first run did not
 // happen or its answer was dropped.
-func (r *Reducer) answerReplay(id WorkID, record *attemptRecord) {
+func (r *Reducer) answerReplay(w *work, record *attemptRecord) {
 	if record.outcome == OutcomeNotRun {
-		r.refuseWork(&work{id: id}, RefusalSettled)
+		r.refuseWork(w, RefusalSettled)
 		return
 	}
 	if record.answer == nil {
-		r.refuseWork(&work{id: id}, RefusalAnswerNotKept)
+		r.refuseWork(w, RefusalAnswerNotKept)
 		return
 	}
-	r.emit(ReplayWork{Work: id, Answer: record.answer})
+	r.emit(ReplayWork{Work: w.id, Answer: record.answer})
 }
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -24,6 +24,8 @@
 	// DecisionWorkRefused reports that this node's guard refused an attempt.
 	DecisionWorkRefused DecisionKind = "work-refused"
 	DecisionWorkEnded   DecisionKind = "work-ended"
+	// DecisionWorkRepeated reports an attempt that this node's guard has received before.
+	DecisionWorkRepeated DecisionKind = "work-repeated"
 )
 
 // The changes of the process's view of plans, upstreams, members and requests.
@@ -71,6 +73,10 @@
 	Tries int
 	// Status is the HTTP status of the upstream's answer.
 	Status int
+	// Basis is what the outcome in Reason was concluded from.
+	Basis OutcomeBasis
+	// Skipped is the number of answers to other requests that came before the attempt's.
+	Skipped int
 }
 
 func (Decision) effect() {}
@@ -119,9 +125,23 @@
 
 // noteWorkDecision reports a guard's decision about an attempt.
 func (r *Reducer) noteWorkDecision(kind DecisionKind, w *work, reason string) {
-	r.noteDecision(Decision{
+	r.noteDecision(r.workDecision(kind, w, reason))
+}
+
+// noteWorkEnded reports how an attempt ended, and what its outcome was concluded from.
+func (r *Reducer) noteWorkEnded(w *work, e WorkEnded) {
+	d := r.workDecision(DecisionWorkEnded, w, string(e.Outcome))
+	d.Basis = e.Basis
+	d.Status = e.Status
+	d.Skipped = e.Skipped
+	r.noteDecision(d)
+}
+
+// workDecision returns a guard's decision about an attempt.
+func (r *Reducer) workDecision(kind DecisionKind, w *work, reason string) Decision {
+	return Decision{
 		Kind: kind, Request: w.requestID, Attempt: w.attempt, Service: r.guard.service, Route: w.route,
 		Reason: reason, Plan: r.planInForce.offset, Load: float64(r.guard.running + r.guard.queued()),
 		Expected: r.guard.admission.expected(w, r.now), Remaining: w.deadline.Sub(r.now), Took: r.now.Sub(w.arrived),
-	})
+	}
 }
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -27,6 +27,25 @@
 	OutcomeRunning Outcome = "running"
 )
 
+// OutcomeBasis is what a guard concluded the outcome of an attempt from.
+type OutcomeBasis string
+
+// The bases of outcomes.
+const (
+	// BasisAnswered is the upstream's own whole answer.
+	BasisAnswered OutcomeBasis = "answered"
+	// BasisRejected is the upstream's statement that it did not run the attempt.
+	BasisRejected OutcomeBasis = "rejected-by-upstream"
+	// BasisOtherRun is the answer of another run of the upstream than the expected one.
+	BasisOtherRun OutcomeBasis = "other-run-answered"
+	// BasisNotConnected is a connection to the upstream that was never made.
+	BasisNotConnected OutcomeBasis = "not-connected"
+	// BasisUnusableAnswer is an answer that can't be passed on.
+	BasisUnusableAnswer OutcomeBasis = "unusable-answer"
+	// BasisNoAnswer is a request that was sent and got no whole answer.
+	BasisNoAnswer OutcomeBasis = "no-whole-answer"
+)
+
 // Event is an input to the reducer.
 type Event interface{ event() }
 
@@ -186,8 +205,12 @@
 	WorkEnded struct {
 		Work    WorkID
 		Outcome Outcome
+		// Basis is what the outcome was concluded from.
+		Basis OutcomeBasis
 		// Status is the HTTP status of the upstream's answer, or zero without an answer.
 		Status int
+		// Skipped is the number of answers to other requests that came before this one's.
+		Skipped int
 		// Answer is the answer to store for replays, or nil.
 		Answer *StoredAnswer
 		// PacePercent is the upstream's current service time in percent of the usual one, or
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -154,6 +154,7 @@
 	}
 	if record := r.attemptRecords.records[w.attempt]; record != nil && (record.work != nil || record.outcome != OutcomeNotRun) {
 		// The attempt was delivered twice: the second copy gets the first one's result.
+		r.noteWorkDecision(DecisionWorkRepeated, w, string(record.outcome))
 		r.replayWork(w)
 		return
 	}
@@ -363,7 +364,7 @@
 			g.recordServiceTime(w.length, r.now.Sub(w.started))
 		}
 	}
-	r.noteWorkDecision(DecisionWorkEnded, w, string(e.Outcome))
+	r.noteWorkEnded(w, e)
 	r.attemptRecords.close(w, e.Outcome, e.Answer)
 	r.answerWaitingReplays(w.attempt)
 	r.startWork()
--- a/internal/edge/upstream/connection.go
+++ b/internal/edge/upstream/connection.go
@@ -141,6 +141,8 @@
 	// connected reports that a connection was obtained, so the request may have reached
 	// the upstream.
 	connected bool
+	// skipped is the number of answers to other requests that were read.
+	skipped int
 	// answered reports that the head of an answer was read, also of an informational
 	// answer or one to another request.
 	answered bool
@@ -186,7 +188,6 @@
 // readAnswer reads the head of the request's own answer. It skips informational answers and,
 // if skipMismatched is set, answers to other requests.
 func (x *exchange) readAnswer(req *http.Request) (*http.Response, error) {
-	mismatched := 0
 	x.connection.limited.expectHead()
 	for {
 		resp, err := http.ReadResponse(x.connection.reader, req)
@@ -201,9 +202,9 @@
 		if x.matches == nil || x.matches(resp) {
 			return resp, nil
 		}
-		mismatched++
+		x.skipped++
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
-		if err != nil || !x.skipMismatched || n == maxMismatchedBytes || resp.Close || mismatched == maxMismatchedAnswers {
+		if err != nil || !x.skipMismatched || n == maxMismatchedBytes || resp.Close || x.skipped == maxMismatchedAnswers {
 			return nil, errMismatchedAnswer
 		}
 		x.connection.limited.expectHead()
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -225,19 +225,20 @@
 	}
 	verdict := g.Protocol.ClassifyAnswer(resp)
 	r.pacePercent = verdict.PacePercent
+	r.status = resp.StatusCode
 	switch {
 	case verdict.ReplacementInstance != "":
 		r.discard(resp)
 		g.Loop.Do(reducer.UpstreamReplaced{Instance: verdict.ReplacementInstance})
-		r.endWork(reducer.OutcomeNotRun, nil)
+		r.endWork(reducer.OutcomeNotRun, reducer.BasisOtherRun, nil)
 		return g.refusal(req, reducer.RefusalNoUpstream), nil
 	case verdict.Outcome == reducer.OutcomeNotRun:
 		r.discard(resp)
-		r.endWork(reducer.OutcomeNotRun, nil)
+		r.endWork(reducer.OutcomeNotRun, reducer.BasisRejected, nil)
 		return g.refusal(req, reducer.RefusalShed), nil
 	case verdict.Outcome == reducer.OutcomeUnknown:
 		r.discard(resp)
-		r.endWork(reducer.OutcomeUnknown, nil)
+		r.endWork(reducer.OutcomeUnknown, reducer.BasisUnusableAnswer, nil)
 		return g.unknownOutcome(req, arrived.Attempt), nil
 	}
 	if g.Protocol.BuffersAnswers() {
@@ -249,7 +250,7 @@
 	resp.Header[peer.HeaderUpstream] = []string{start.Upstream}
 	r.setAnswer(resp)
 	if g.Protocol.BuffersAnswers() {
-		r.endWork(reducer.OutcomeRan, r.bufferAnswer())
+		r.endWork(reducer.OutcomeRan, reducer.BasisAnswered, r.bufferAnswer())
 	}
 	g.setReportHeaders(resp.Header, arrived.Attempt, reducer.OutcomeRan, waited)
 	resp.Body = r
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -30,6 +30,10 @@
 	connected bool
 	// pacePercent is AnswerClass.PacePercent.
 	pacePercent int
+	// status is the status of the upstream's answer, or zero without one.
+	status int
+	// skipped is the number of answers to other requests that came before this attempt's.
+	skipped int
 
 	resp *http.Response
 	body io.ReadCloser
@@ -50,6 +54,7 @@
 	}
 	resp, err := x.run(out)
 	r.connected = x.connected
+	r.skipped = x.skipped
 	if err == nil || r.arrived.Keyed || x.connection == nil || !x.connection.reused || x.answered {
 		return resp, err
 	}
@@ -91,13 +96,13 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			r.guard.Loop.Do(reducer.UpstreamDied{})
 		}
-		r.endWork(reducer.OutcomeNotRun, nil)
+		r.endWork(reducer.OutcomeNotRun, reducer.BasisNotConnected, nil)
 		return r.guard.refusal(req, reducer.RefusalNoUpstream), nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, errMismatchedAnswer) {
 		r.reportDeath()
 	}
-	r.endWork(reducer.OutcomeUnknown, nil)
+	r.endWork(reducer.OutcomeUnknown, reducer.BasisNoAnswer, nil)
 	return r.guard.unknownOutcome(req, r.arrived.Attempt), nil
 }
 
@@ -171,12 +176,12 @@
 	r.appendStored(p[:n])
 	switch {
 	case errors.Is(err, io.EOF):
-		r.endWork(reducer.OutcomeRan, r.storedAnswer())
+		r.endWork(reducer.OutcomeRan, reducer.BasisAnswered, r.storedAnswer())
 	case err != nil:
 		if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 			r.reportDeath()
 		}
-		r.endWork(reducer.OutcomeRan, nil)
+		r.endWork(reducer.OutcomeRan, reducer.BasisNoAnswer, nil)
 	}
 	return n, err
 }
@@ -185,7 +190,7 @@
 // is not kept.
 func (r *runningAttempt) Close() error {
 	err := r.body.Close()
-	r.endWork(reducer.OutcomeRan, nil)
+	r.endWork(reducer.OutcomeRan, reducer.BasisNoAnswer, nil)
 	r.cancel()
 	return err
 }
@@ -217,14 +222,11 @@
 
 // endWork reports the attempt's end to the reducer, which frees its slot. Only the first call
 // has an effect.
-func (r *runningAttempt) endWork(outcome reducer.Outcome, answer *reducer.StoredAnswer) {
+func (r *runningAttempt) endWork(outcome reducer.Outcome, basis reducer.OutcomeBasis, answer *reducer.StoredAnswer) {
 	r.once.Do(func() {
-		status := 0
-		if r.resp != nil {
-			status = r.resp.StatusCode
-		}
 		r.guard.Loop.Do(reducer.WorkEnded{
-			Work: r.mailbox.ID(), Outcome: outcome, Status: status, Answer: answer, PacePercent: r.pacePercent,
+			Work: r.mailbox.ID(), Outcome: outcome, Basis: basis, Status: r.status, Skipped: r.skipped, Answer: answer,
+			PacePercent: r.pacePercent,
 		})
 		r.guard.Loop.CloseWork(r.mailbox)
 	})
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -53,6 +53,7 @@
 	writeText(line, "peer", decided.Peer)
 	writeText(line, "instance", decided.Instance)
 	writeText(line, "reason", decided.Reason)
+	writeText(line, "basis", string(decided.Basis))
 	if decided.BodySpent {
 		line.Str("body", "spent")
 	}
@@ -67,6 +68,9 @@
 	if decided.Status > 0 {
 		line = line.Int("status", decided.Status)
 	}
+	if decided.Skipped > 0 {
+		line = line.Int("skipped", decided.Skipped)
+	}
 	line.Msgs()
 }
 
