Carry a request on an upstream's connection only once

Cause: an upstream's answer is matched to its request by the request's ID. An attempt that the upstream rejected can be followed by another attempt of the same request at the same upstream (its guard had refused it as busy before, so it may be chosen again), and the pool gave it the connection that the rejection had come on. A second copy of that rejection bears the same ID: it was taken for the answer to the second attempt, which the upstream ran. The class: an answer is attributed by an ID that is not unique where it is used.

Ruled out: copies by the transport between nodes (no work-repeated line for the request), settling (no attempt-settled).

Fix: a connection remembers the requests that it carries until a second after their deadline, and the pool passes it over for a request that it has carried. Any later answer with that ID on the new connection belongs to the new attempt. Weighed and left: closing each connection that brought a rejection (under load most connections bring one, and a new one costs the upstream 1 ms of a slot); never choosing an upstream again that rejected (it says nothing of a caller that sends one ID twice).

The limit on connections holds for idle ones, too: a new one closes the one that was idle longest where it would exceed the limit. Before, a keyed request with only long-idle connections left could exceed it as well.

TestPoolBoundsConnectionsInUse sent five requests under one ID, which no longer share a connection; it sends five IDs now, with the same bound.

--- a/internal/edge/upstream/connection.go
+++ b/internal/edge/upstream/connection.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,9 @@
 	// keepAliveMargin is subtracted from the upstream's keep-alive timeout, so that no
 	// request is sent while the upstream closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
+	// repeatMargin is how long after its deadline a request may still come again: each VM counts the
+	// time left anew, and the request was on its way meanwhile.
+	repeatMargin = time.Second
 )
 
 // errAnswerHeadTooLong is returned when the heads before an answer's body exceed
@@ -52,6 +56,8 @@
 	// keepAlive is how long the upstream keeps the connection open while idle, less
 	// keepAliveMargin.
 	keepAlive time.Duration
+	// carried holds the requests that the connection has carried and that may still come again.
+	carried []carriedRequest
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 	// idleUntil is when an idle connection expires.
@@ -98,6 +104,26 @@
 	return n, err
 }
 
+// carriedRequest is a request that a connection has carried.
+type carriedRequest struct {
+	id string
+	// until is when the request can't come again any more.
+	until time.Time
+}
+
+// carry remembers a request, and forgets those that can't come again.
+func (c *connection) carry(id string, deadline, now time.Time) {
+	c.carried = slices.DeleteFunc(c.carried, func(r carriedRequest) bool { return r.until.Before(now) })
+	if id != "" {
+		c.carried = append(c.carried, carriedRequest{id: id, until: deadline.Add(repeatMargin)})
+	}
+}
+
+// hasCarried reports whether the connection has carried a request with the ID.
+func (c *connection) hasCarried(id string) bool {
+	return id != "" && slices.ContainsFunc(c.carried, func(r carriedRequest) bool { return r.id == id })
+}
+
 // openAndSilent reports whether an idle connection is open and has no unread bytes. It peeks
 // at the socket without blocking.
 func (c *connection) openAndSilent() bool {
@@ -126,6 +152,10 @@
 type exchange struct {
 	pool    *pool
 	address string
+	// requestID is the ID by which the upstream's answer names the request, or empty. No connection
+	// carries the same ID twice, because a second answer to the earlier request can't be told
+	// from the answer to the later one.
+	requestID string
 	// maxIdle limits how long a reused connection may have been idle; zero requires a new
 	// connection.
 	maxIdle time.Duration
@@ -154,10 +184,13 @@
 // to its end returns the connection to the pool.
 func (x *exchange) run(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
-	c, err := x.pool.get(ctx, x.address, x.maxIdle)
+	c, err := x.pool.get(ctx, x.address, x.requestID, x.maxIdle)
 	if err != nil {
 		return nil, err
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.carry(x.requestID, deadline, time.Now())
+	}
 	x.connection = c
 	x.connected = true
 	x.stop = context.AfterFunc(ctx, func() { _ = c.conn.Close() })
--- a/internal/edge/upstream/connection_test.go
+++ b/internal/edge/upstream/connection_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -88,7 +89,7 @@
 		return "", err
 	}
 	req.Header.Set("X-Request-Id", id)
-	x := &exchange{pool: p, address: req.URL.Host, maxIdle: maxIdleTime, skipMismatched: true}
+	x := &exchange{pool: p, address: req.URL.Host, requestID: id, maxIdle: maxIdleTime, skipMismatched: true}
 	x.matches = func(resp *http.Response) bool { return resp.Header.Get("X-Request-Id") == id }
 	resp, err := x.run(req)
 	if err != nil {
@@ -225,9 +226,9 @@
 	})
 	p := newPool(2)
 	results := make(chan error, 5)
-	for range 5 {
+	for i := range 5 {
 		go func() {
-			_, err := sendRequest(p, u, "/hold", "r", "")
+			_, err := sendRequest(p, u, "/hold", "r"+strconv.Itoa(i), "")
 			results <- err
 		}()
 	}
@@ -348,3 +349,47 @@
 	}
 	return peer.ReadWhole(resp)
 }
+
+// A request that comes again gets a connection that has not carried it, while others still share one.
+func TestConnectionNeverCarriesARequestTwice(t *testing.T) {
+	c := qt.New(t)
+	u := newRawUpstream(t, nil)
+	p := newPool(0)
+	for i, test := range []struct {
+		id          string
+		connections int64
+	}{{"r1", 1}, {"r2", 1}, {"r1", 2}, {"r3", 2}, {"r1", 3}, {"r4", 3}} {
+		_, err := sendRequest(p, u, "/", test.id, "body")
+		c.Assert(err, qt.IsNil)
+		c.Assert(u.connections.Load(), qt.Equals, test.connections, qt.Commentf("request %d", i))
+	}
+}
+
+// A connection forgets requests whose deadline has passed by more than the margin, so that its memory
+// stays bounded.
+func TestConnectionForgetsRequestsAfterTheirDeadline(t *testing.T) {
+	c := qt.New(t)
+	conn := newConnection(newPool(0), nil, "10.0.0.1:80")
+	now := time.Now()
+	for i := range 100 {
+		conn.carry(strconv.Itoa(i), now.Add(time.Second), now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(conn.hasCarried("99"), qt.IsTrue)
+	c.Assert(conn.hasCarried("85"), qt.IsTrue)
+	c.Assert(len(conn.carried) <= 22, qt.IsTrue, qt.Commentf("%d requests", len(conn.carried)))
+}
+
+// The upstream counts idle connections, too: a new connection for a request that comes again must not
+// exceed the limit.
+func TestNewConnectionStaysWithinTheLimit(t *testing.T) {
+	c := qt.New(t)
+	u := newRawUpstream(t, nil)
+	p := newPool(1)
+	for range 3 {
+		_, err := sendRequest(p, u, "/", "r1", "")
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.idle, qt.HasLen, 1)
+	}
+	c.Assert(u.connections.Load(), qt.Equals, int64(3))
+}
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -44,10 +44,10 @@
 	return p
 }
 
-// get returns an idle connection to address that has been idle for at most maxIdle, or else
-// a new one. It blocks while the limit of connections in use is reached. On success, the
+// get returns an idle connection to address that has been idle for at most maxIdle and has not
+// carried the request, or else a new one. It blocks while the limit of connections in use is reached. On success, the
 // caller must call release after use.
-func (p *pool) get(ctx context.Context, address string, maxIdle time.Duration) (*connection, error) {
+func (p *pool) get(ctx context.Context, address, requestID string, maxIdle time.Duration) (*connection, error) {
 	if p.tokens != nil {
 		select {
 		case p.tokens <- struct{}{}:
@@ -55,7 +55,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	if c := p.takeIdle(address, maxIdle); c != nil {
+	if c := p.takeIdle(address, requestID, maxIdle); c != nil {
 		return c, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -74,28 +74,43 @@
 	}
 }
 
-// takeIdle returns the most recently used connection to address that is still usable and has
-// been idle for at most maxIdle, or nil. It closes the unusable ones that it meets.
-func (p *pool) takeIdle(address string, maxIdle time.Duration) *connection {
+// takeIdle returns the most recently used connection to address that is still usable, has been idle
+// for at most maxIdle and has not carried the request, or nil. It closes the unusable ones that it meets.
+func (p *pool) takeIdle(address, requestID string, maxIdle time.Duration) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		if c.address == address && now.Before(c.idleUntil) && now.Sub(c.idleSince) > maxIdle {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		usable := c.address == address && now.Before(c.idleUntil)
+		if usable && now.Sub(c.idleSince) > maxIdle {
 			// The remaining connections have been idle even longer.
-			return nil
+			break
 		}
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.address == address && now.Before(c.idleUntil) && c.openAndSilent() {
+		if usable && c.hasCarried(requestID) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if usable && c.openAndSilent() {
 			c.reused = true
 			return c
 		}
 		_ = c.conn.Close()
 	}
+	p.makeRoom()
 	return nil
 }
 
+// makeRoom closes the connection that has been idle longest if a new one would exceed the limit: the
+// upstream counts idle connections, too.
+func (p *pool) makeRoom() {
+	if p.tokens == nil || len(p.idle) == 0 || len(p.idle)+len(p.tokens) <= p.maxInUse {
+		return
+	}
+	_ = p.idle[0].conn.Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+}
+
 // put adds a connection to the idle ones and closes those that have expired.
 func (p *pool) put(c *connection) {
 	p.mu.Lock()
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -47,7 +47,10 @@
 // send sends the request. If a reused connection fails before any answer, a request without
 // a key and without a body is sent once more, on a new connection.
 func (r *runningAttempt) send(out *http.Request) (*http.Response, error) {
-	x := &exchange{pool: r.guard.pool.Load(), address: r.address, maxIdle: maxIdleTime, skipMismatched: r.guard.Protocol.BuffersAnswers()}
+	x := &exchange{
+		pool: r.guard.pool.Load(), address: r.address, requestID: r.arrived.RequestID, maxIdle: maxIdleTime,
+		skipMismatched: r.guard.Protocol.BuffersAnswers(),
+	}
 	x.matches = func(resp *http.Response) bool { return r.guard.Protocol.MatchesRequest(resp, out) }
 	if r.arrived.Keyed {
 		x.maxIdle = maxIdleTimeKeyed
