Take an answer without an ID only from a connection that carried nothing else

What callers could see: a request that may run once is answered 503 and runs.

Cause: an error answer without an ID counted as the answer to the request at hand. Upstreams echo the ID, so such bytes belong to no request, or to an earlier one that had no ID, such as a health check.

Fix: the protocol tells whose answer it is: own, foreign or unidentified. The first answer on a connection is the request's own; a later one without an ID ends the exchange with an unknown outcome at once. Weighed and left: skipping it, which lets the caller wait until its deadline if the answer was the request's own.

--- a/internal/edge/upstream/connection.go
+++ b/internal/edge/upstream/connection.go
@@ -44,6 +44,10 @@
 // errMismatchedAnswer is returned when the upstream answered another request instead.
 var errMismatchedAnswer = errors.New("the upstream's answer belongs to another request")
 
+// errUnidentifiedAnswer is returned for an answer that doesn't tell which of the connection's requests it
+// belongs to.
+var errUnidentifiedAnswer = errors.New("the upstream's answer does not tell which request it belongs to")
+
 // connection is one TCP connection to the upstream with its read buffer.
 type connection struct {
 	pool    *pool
@@ -159,8 +163,8 @@
 	// maxIdle limits how long a reused connection may have been idle; zero requires a new
 	// connection.
 	maxIdle time.Duration
-	// matches reports whether an answer belongs to the request; nil accepts any answer.
-	matches func(*http.Response) bool
+	// match tells whose answer it is; nil takes any answer for the request's own.
+	match func(*http.Response) AnswerOwner
 	// skipMismatched allows answers to other requests before the request's own.
 	skipMismatched bool
 
@@ -232,8 +236,12 @@
 			continue
 		}
 		x.connection.limited.headRead()
-		if x.matches == nil || x.matches(resp) {
+		switch x.ownerOf(resp) {
+		case OwnAnswer:
 			return resp, nil
+		case UnidentifiedAnswer:
+			return nil, errUnidentifiedAnswer
+		default:
 		}
 		x.skipped++
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
@@ -244,6 +252,18 @@
 	}
 }
 
+// ownerOf tells whose answer it is. The first answer on a connection needs no identification.
+func (x *exchange) ownerOf(resp *http.Response) AnswerOwner {
+	if x.match == nil {
+		return OwnAnswer
+	}
+	owner := x.match(resp)
+	if owner == UnidentifiedAnswer && !x.connection.reused && x.skipped == 0 {
+		return OwnAnswer
+	}
+	return owner
+}
+
 // readError wraps a read error. If writing the request has failed by now, it returns the
 // write error instead, which is the cause.
 func (x *exchange) readError(err error) error {
--- a/internal/edge/upstream/connection_test.go
+++ b/internal/edge/upstream/connection_test.go
@@ -76,6 +76,16 @@
 	return true
 }
 
+// ownedBy returns a match that takes only answers that echo the ID.
+func ownedBy(id string) func(*http.Response) AnswerOwner {
+	return func(resp *http.Response) AnswerOwner {
+		if resp.Header.Get("X-Request-Id") == id {
+			return OwnAnswer
+		}
+		return ForeignAnswer
+	}
+}
+
 // sendRequest sends a request through the pool and returns the answer's body.
 func sendRequest(p *pool, u *rawUpstream, path, id, body string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -90,7 +100,7 @@
 	}
 	req.Header.Set("X-Request-Id", id)
 	x := &exchange{pool: p, address: req.URL.Host, requestID: id, maxIdle: maxIdleTime, skipMismatched: true}
-	x.matches = func(resp *http.Response) bool { return resp.Header.Get("X-Request-Id") == id }
+	x.match = ownedBy(id)
 	resp, err := x.run(req)
 	if err != nil {
 		return "", err
@@ -342,7 +352,7 @@
 		return err
 	}
 	x := &exchange{pool: p, address: req.URL.Host, maxIdle: maxIdleTime, skipMismatched: true}
-	x.matches = func(resp *http.Response) bool { return resp.Header.Get("X-Request-Id") == id }
+	x.match = ownedBy(id)
 	resp, err := x.run(req)
 	if err != nil {
 		return err
--- a/internal/edge/upstream/protocol.go
+++ b/internal/edge/upstream/protocol.go
@@ -32,6 +32,20 @@
 	ReplacementInstance string
 }
 
+// AnswerOwner is the request that an answer belongs to, as far as its head tells.
+type AnswerOwner int
+
+// The owners of an answer.
+const (
+	// OwnAnswer belongs to the request at hand.
+	OwnAnswer AnswerOwner = iota
+	// ForeignAnswer belongs to another request.
+	ForeignAnswer
+	// UnidentifiedAnswer doesn't tell. On a connection that has carried other requests, it can't be told
+	// from a late answer to one of them.
+	UnidentifiedAnswer
+)
+
 // Identity is what an upstream's health endpoint reports about it.
 type Identity struct {
 	// Instance identifies the run of the upstream process.
@@ -45,8 +59,8 @@
 	// SetRequestHeaders adds the attempt's headers to h, the headers of the request to the upstream.
 	// original holds the headers that the guard received.
 	SetRequestHeaders(h, original http.Header, attempt Attempt)
-	// MatchesRequest reports whether an answer belongs to the request.
-	MatchesRequest(resp *http.Response, req *http.Request) bool
+	// MatchAnswer tells whose answer it is by what the answer echoes of the request.
+	MatchAnswer(resp *http.Response, req *http.Request) AnswerOwner
 	// ClassifyAnswer classifies an answer by its status and headers.
 	ClassifyAnswer(resp *http.Response) AnswerClass
 	// Identify returns the identity in an answer of the health endpoint. It fails if the
@@ -77,11 +91,13 @@
 	}
 }
 
-// MatchesRequest compares the attempt that the answer echoes. It accepts an answer without one,
-// because not every upstream echoes it.
-func (nativeProtocol) MatchesRequest(resp *http.Response, req *http.Request) bool {
-	echoed := resp.Header.Get(peer.HeaderAttempt)
-	return echoed == "" || echoed == req.Header.Get(peer.HeaderAttempt)
+// MatchAnswer compares the attempt that the answer echoes. It takes an answer without one for the
+// request's own, because not every upstream echoes it.
+func (nativeProtocol) MatchAnswer(resp *http.Response, req *http.Request) AnswerOwner {
+	if echoed := resp.Header.Get(peer.HeaderAttempt); echoed != "" && echoed != req.Header.Get(peer.HeaderAttempt) {
+		return ForeignAnswer
+	}
+	return OwnAnswer
 }
 
 // ClassifyAnswer classifies every answer as ran.
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -51,7 +51,7 @@
 		pool: r.guard.pool.Load(), address: r.address, requestID: r.arrived.RequestID, maxIdle: maxIdleTime,
 		skipMismatched: r.guard.Protocol.BuffersAnswers(),
 	}
-	x.matches = func(resp *http.Response) bool { return r.guard.Protocol.MatchesRequest(resp, out) }
+	x.match = func(resp *http.Response) AnswerOwner { return r.guard.Protocol.MatchAnswer(resp, out) }
 	if r.arrived.Keyed {
 		x.maxIdle = maxIdleTimeKeyed
 	}
@@ -64,7 +64,7 @@
 	if out.Context().Err() != nil || out.Body != http.NoBody {
 		return resp, err
 	}
-	retry := &exchange{pool: x.pool, address: r.address, matches: x.matches, skipMismatched: x.skipMismatched}
+	retry := &exchange{pool: x.pool, address: r.address, match: x.match, skipMismatched: x.skipMismatched}
 	return retry.run(out)
 }
 
@@ -102,7 +102,7 @@
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisNotConnected, nil)
 		return r.guard.refusal(req, reducer.RefusalNoUpstream), nil
 	}
-	if ctx.Err() == nil && !errors.Is(err, errMismatchedAnswer) {
+	if ctx.Err() == nil && !errors.Is(err, errMismatchedAnswer) && !errors.Is(err, errUnidentifiedAnswer) {
 		r.reportDeath()
 	}
 	r.endWork(reducer.OutcomeUnknown, reducer.BasisNoAnswer, nil)
