Don't pass on a status that promises what the upstream did not state

Cause: such an answer counts as the upstream's own, and its status went to the caller unchanged.

Fix: for a request that may run once, such an answer has an unknown outcome, so the caller gets 502 without the signature, which promises nothing.

TestStatusOfARequestThatRanPromisesNothing failed before (status 503 for a request that ran). TestUpstreamResponsesDetermineTheOutcome asserts the new field as well.

--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -236,7 +236,7 @@
 		r.discard(resp)
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisRejected, nil)
 		return g.refusal(req, reducer.RefusalShed), nil
-	case verdict.Outcome == reducer.OutcomeUnknown:
+	case verdict.Outcome == reducer.OutcomeUnknown, verdict.ClaimsNotRun && arrived.Keyed:
 		r.discard(resp)
 		r.endWork(reducer.OutcomeUnknown, reducer.BasisUnusableAnswer, nil)
 		return g.unknownOutcome(req, arrived.Attempt), nil
--- a/internal/edge/upstream/protocol.go
+++ b/internal/edge/upstream/protocol.go
@@ -25,6 +25,9 @@
 	// Outcome is ran for an answer, not-run if the upstream states that it did not start
 	// the attempt, and unknown for an answer that can't be passed on.
 	Outcome reducer.Outcome
+	// ClaimsNotRun reports that callers take the answer's status for a promise that the request has not
+	// run, which the upstream doesn't state.
+	ClaimsNotRun bool
 	// PacePercent is the upstream's current service time in percent of the usual; zero if unknown.
 	PacePercent int
 	// ReplacementInstance identifies the run of the upstream that answered in place of
