--- a/internal/decision/reducer/decided_test.go
+++ b/internal/decision/reducer/decided_test.go
@@ -27,13 +27,13 @@
 		Work: 1, Attempt: "a1", To: n.Self.Incarnation, Service: routedService, Kind: "long", Keyed: true,
 		RequestID: "r1", Deadline: n.now.Add(time.Second), Objective: n.now.Add(time.Second),
 	}
-	n.step(arrived)
+	n.Step(n.now, arrived)
 	arrived.Work = 2
-	repeated := decisionsOf(n.step(arrived), DecisionWorkRepeated)
+	repeated := decisionsOf(n.Step(n.now, arrived), DecisionWorkRepeated)
 	c.Assert(repeated, qt.HasLen, 1)
 	c.Assert(repeated[0].Request, qt.Equals, "r1")
 	c.Assert(repeated[0].Reason, qt.Equals, string(OutcomeRunning))
-	effects := n.step(WorkEnded{Work: 1, Outcome: OutcomeNotRun, Basis: BasisRejected, Status: 503, Skipped: 1})
+	effects := n.Step(n.now, WorkEnded{Work: 1, Outcome: OutcomeNotRun, Basis: BasisRejected, Status: 503, Skipped: 1})
 	ended := decisionsOf(effects, DecisionWorkEnded)
 	c.Assert(ended, qt.HasLen, 1)
 	c.Assert(ended[0].Basis, qt.Equals, BasisRejected)
