Refuse a second copy of an attempt without saying that it has not run

Cause: every refusal of a guard had the outcome not-run. http.Transport sends some requests again by itself; the guard recognises the copy by the attempt's ID, has no stored answer for it and refuses it with "answer not kept". The entry took that for "not run" and sent the request to another upstream, or answered 503. The same holds for a copy whose requester leaves while the first one runs: its refusal said "deadline" and not-run. The class: "not run" said without knowing.

Fix: a refusal carries the outcome, and only one that follows from the reducer's own knowledge has not-run: never queued, or dropped from the queue. A copy has the outcome unknown unless the first one can't run any more; so has a refused request for a stored answer. An attempt without a decision gets an unknown outcome as well. The entry handles a refused request for a stored answer as before.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -158,7 +158,7 @@
 	record := r.attemptRecords.records[w.attempt]
 	switch {
 	case record == nil:
-		r.refuseWork(w, RefusalAnswerNotKept)
+		r.refuseReplay(w, RefusalAnswerNotKept)
 	case record.outcome == OutcomeRunning || record.work != nil:
 		w.joinedAttempt = w.attempt
 		r.guard.attempts[w.id] = w
@@ -195,7 +195,7 @@
 		return
 	}
 	if record.answer == nil {
-		r.refuseWork(w, RefusalAnswerNotKept)
+		r.refuseReplay(w, RefusalAnswerNotKept)
 		return
 	}
 	r.emit(ReplayWork{Work: w.id, Answer: record.answer})
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -190,10 +190,13 @@
 	// RequestBody requests the body of an attempt that waits for a slot.
 	RequestBody struct{ Work WorkID }
 
-	// RefuseWork refuses an attempt, which will never run.
+	// RefuseWork refuses an attempt.
 	RefuseWork struct {
 		Work   WorkID
 		Reason RefusalReason
+		// Outcome is not-run if the attempt has not run and never will. It is unknown if the refusal
+		// says nothing of that.
+		Outcome Outcome
 	}
 
 	// ReplayWork replies to a resend with the stored answer of the first run.
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -145,6 +145,10 @@
 		w.weight = s.kinds[e.Kind].kind.Weight
 	}
 	if e.To != r.Self.Incarnation {
+		if e.Replay {
+			r.refuseReplay(w, RefusalRestarted)
+			return
+		}
 		r.refuseWork(w, RefusalRestarted)
 		return
 	}
@@ -264,11 +268,21 @@
 	r.answerWaitingReplays(w.attempt)
 }
 
-// refuseWork counts and reports a refusal and answers the requester with the reason.
+// refuseWork refuses an attempt that has not run and never will.
 func (r *Reducer) refuseWork(w *work, reason RefusalReason) {
+	r.refuse(w, reason, OutcomeNotRun)
+}
+
+// refuseReplay refuses to answer a resend, which says nothing of what became of the first copy.
+func (r *Reducer) refuseReplay(w *work, reason RefusalReason) {
+	r.refuse(w, reason, OutcomeUnknown)
+}
+
+// refuse counts and reports a refusal and answers the requester with the reason.
+func (r *Reducer) refuse(w *work, reason RefusalReason, outcome Outcome) {
 	r.counts.Refused++
 	r.noteWorkDecision(DecisionWorkRefused, w, string(reason))
-	r.emit(RefuseWork{Work: w.id, Reason: reason})
+	r.emit(RefuseWork{Work: w.id, Reason: reason, Outcome: outcome})
 }
 
 // startWork starts queued attempts while slots are free.
@@ -379,6 +393,7 @@
 	}
 	if w.joinedAttempt != "" {
 		delete(g.attempts, w.id)
+		r.refuseReplay(w, RefusalDeadline)
 		return
 	}
 	r.dropQueued(w, RefusalDeadline)
--- a/internal/decision/reducer/model_test.go
+++ b/internal/decision/reducer/model_test.go
@@ -122,6 +122,13 @@
 				}
 			},
 			"lose": func(t *rapid.T) { w.lose(pickPending(t)) },
+			"repeat": func(t *rapid.T) {
+				d := w.pending[pickPending(t)]
+				if d.again == nil {
+					t.Skip("the message is never repeated")
+				}
+				w.send(d.again())
+			},
 			"end work": func(t *rapid.T) {
 				n := pickNode(t)
 				if !n.alive || n.frozen {
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -105,6 +105,9 @@
 	// lost is called if the message is lost or the receiver is gone; sent is false if the
 	// receiver did not exist, so that no connection was established.
 	lost func(sent bool)
+	// again returns the message once more, as a transport sends it that repeats requests by itself; it
+	// is nil for messages that are never repeated.
+	again func() *delivery
 	// log means that the message goes to the log, which loses none; do gets a nil node.
 	log bool
 }
--- a/internal/decision/reducer/worldnode_test.go
+++ b/internal/decision/reducer/worldnode_test.go
@@ -114,11 +114,21 @@
 			Fingerprint: e.Fingerprint, Replay: e.Replay, Key: e.Key, RefuseIfBusy: e.RefuseIfBusy,
 		})
 	}
-	n.w.send(&delivery{to: e.Target.Address(), do: arrive, lost: func(sent bool) {
+	d := &delivery{to: e.Target.Address(), do: arrive, lost: func(sent bool) {
 		n.ifWaiting(e.Call, token, func(*worldCall) {
 			n.step(AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: sent})
 		})
-	}})
+	}}
+	if e.Keyed && !e.Replay {
+		d.again = func() *delivery {
+			return &delivery{to: e.Target.Address(), lost: func(bool) {}, do: func(g *worldNode) {
+				if g.r.Self.Incarnation == e.Target.Incarnation() {
+					arrive(g)
+				}
+			}}
+		}
+	}
+	n.w.send(d)
 }
 
 // startWork starts an attempt and checks that it may start: the node isn't leaving, the
@@ -169,8 +179,12 @@
 func (n *worldNode) refuseWork(e RefuseWork) {
 	k := n.works[e.Work]
 	delete(n.works, e.Work)
-	if !k.replay {
+	switch {
+	case e.Outcome == OutcomeNotRun && !k.replay:
 		n.reportNotRun(k.attempt)
+	case !k.replay:
+		k.reply(AttemptLost{Call: k.call, Attempt: k.attempt, Sent: true, Dispatched: true})
+		return
 	}
 	k.reply(AttemptRefused{Call: k.call, Attempt: k.attempt, Reason: e.Reason})
 }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -182,8 +182,9 @@
 	if err != nil {
 		load = reducer.LoadReport{}
 	}
-	switch reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)) {
-	case reducer.OutcomeRan:
+	reason := reducer.RefusalReason(resp.Header.Get(peer.HeaderReason))
+	switch outcome := reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)); {
+	case outcome == reducer.OutcomeRan:
 		if x.entry.Protocol.BuffersAnswers() && peer.ReadWhole(resp) != nil {
 			// A truncated answer may be retried: nothing of it has been sent to the caller.
 			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
@@ -193,11 +194,10 @@
 		x.entry.Loop.Do(reducer.AttemptAnswered{
 			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
 		})
-	case reducer.OutcomeNotRun:
+	case outcome == reducer.OutcomeNotRun, e.Replay && reason != "":
 		drain(resp)
 		x.entry.Loop.Do(reducer.AttemptRefused{
-			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(),
-			Reason: reducer.RefusalReason(resp.Header.Get(peer.HeaderReason)),
+			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(), Reason: reason,
 		})
 	default:
 		drain(resp)
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -66,15 +66,15 @@
 	}
 }
 
-// RoundTrip waits until an attempt is admitted and runs it. Failures are answers, too: a
-// refusal has the outcome not-run, and an attempt that may have run the outcome unknown. The
-// returned error is always nil.
+// RoundTrip waits until an attempt is admitted and runs it. Failures are answers, too: an attempt
+// that has not run and never will has the outcome not-run, one that may have run the outcome unknown.
+// The returned error is always nil.
 func (g *Guard) RoundTrip(req *http.Request) (*http.Response, error) {
 	mailbox := g.Loop.OpenWork()
 	arrived, ok := g.parseAttempt(mailbox.ID(), req)
 	if !ok {
 		g.Loop.CloseWork(mailbox)
-		return g.refusal(req, reducer.RefusalMalformed), nil
+		return g.refusal(req, reducer.RefusalMalformed, reducer.OutcomeNotRun), nil
 	}
 	g.Loop.Do(arrived)
 	arrivedAt := g.Loop.Clock()
@@ -88,10 +88,10 @@
 		return g.replayedAnswer(req, e.Answer), nil
 	case reducer.RefuseWork:
 		g.Loop.CloseWork(mailbox)
-		return g.refusal(req, e.Reason), nil
+		return g.refusal(req, e.Reason, e.Outcome), nil
 	default:
 		g.Loop.CloseWork(mailbox)
-		return g.refusal(req, reducer.RefusalDeadline), nil
+		return g.unknownOutcome(req, arrived.Attempt), nil
 	}
 }
 
@@ -165,7 +165,8 @@
 	}
 }
 
-// withdraw withdraws a waiting attempt. It returns a decision that was already made, or nil.
+// withdraw withdraws a waiting attempt and returns the decision, which may have been made before, or
+// nil if there is none.
 func (g *Guard) withdraw(mailbox *loop.WorkMailbox) reducer.WorkEffect {
 	g.Loop.Do(reducer.WorkLeft{Work: mailbox.ID()})
 	for {
@@ -231,11 +232,11 @@
 		r.discard(resp)
 		g.Loop.Do(reducer.UpstreamReplaced{Instance: verdict.ReplacementInstance})
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisOtherRun, nil)
-		return g.refusal(req, reducer.RefusalNoUpstream), nil
+		return g.refusal(req, reducer.RefusalNoUpstream, reducer.OutcomeNotRun), nil
 	case verdict.Outcome == reducer.OutcomeNotRun:
 		r.discard(resp)
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisRejected, nil)
-		return g.refusal(req, reducer.RefusalShed), nil
+		return g.refusal(req, reducer.RefusalShed, reducer.OutcomeNotRun), nil
 	case verdict.Outcome == reducer.OutcomeUnknown, verdict.ClaimsNotRun && arrived.Keyed:
 		r.discard(resp)
 		r.endWork(reducer.OutcomeUnknown, reducer.BasisUnusableAnswer, nil)
@@ -290,10 +291,11 @@
 	h[peer.HeaderOutcome] = []string{string(outcome)}
 }
 
-// refusal returns a 503 answer with the outcome not-run and the reason.
-func (g *Guard) refusal(req *http.Request, reason reducer.RefusalReason) *http.Response {
+// refusal returns a 503 answer with the reason and the outcome, which is not-run only if the attempt has
+// not run and never will.
+func (g *Guard) refusal(req *http.Request, reason reducer.RefusalReason, outcome reducer.Outcome) *http.Response {
 	resp := g.newAnswer(req, http.StatusServiceUnavailable, nil)
-	g.setReportHeaders(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), reducer.OutcomeNotRun, 0)
+	g.setReportHeaders(resp.Header, reducer.AttemptID(req.Header.Get(peer.HeaderAttempt)), outcome, 0)
 	resp.Header[peer.HeaderReason] = []string{string(reason)}
 	return resp
 }
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -100,7 +100,7 @@
 			r.guard.Loop.Do(reducer.UpstreamDied{})
 		}
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisNotConnected, nil)
-		return r.guard.refusal(req, reducer.RefusalNoUpstream), nil
+		return r.guard.refusal(req, reducer.RefusalNoUpstream, reducer.OutcomeNotRun), nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, errMismatchedAnswer) && !errors.Is(err, errUnidentifiedAnswer) {
 		r.reportDeath()
