Let the transport between nodes repeat no attempt by itself

Cause: http.Transport sends a request without a body again after a broken connection if its method is safe or it bears Idempotency-Key or X-Idempotency-Key. The project hid http.NoBody for safe methods and wrote the first header in lower case, but passed the second one on as callers send it.

Fix: every outgoing request to a node has both headers written in lower case, where the transport does not look for them. Weighed and left: hiding the empty body for all methods, which makes the transport send it in chunks.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -248,6 +248,7 @@
 	h[peer.HeaderTimeout] = []string{deadline.Sub(x.entry.Loop.Clock()).String()}
 	h[peer.HeaderRetries] = []string{strconv.Itoa(retries)}
 	x.entry.Protocol.SetRequestHeaders(h, x.req)
+	peer.PreventRepeats(h)
 	return out
 }
 
--- a/internal/mesh/peer/body.go
+++ b/internal/mesh/peer/body.go
@@ -3,14 +3,27 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 )
 
-// keyHeader is Idempotency-Key as it is written to other nodes and upstreams.
-// http.Transport repeats a request that has no body after a broken connection if
-// it finds the header under its canonical name, and a non-idempotent call could
-// run twice. Receivers see no difference, since names are compared without case.
+// repeatingHeaders are the headers by which http.Transport takes a request without a body for one that it
+// may repeat after a broken connection, so that a non-idempotent call could run twice.
+var repeatingHeaders = []string{HeaderIdempotencyKey, "X-Idempotency-Key"}
+
+// keyHeader is Idempotency-Key as it is written to other nodes and upstreams; see PreventRepeats.
 const keyHeader = "idempotency-key"
 
+// PreventRepeats writes the headers of an outgoing request that make http.Transport repeat it in lower case,
+// in which it doesn't look for them. Receivers see no difference, since names are compared without case.
+func PreventRepeats(h http.Header) {
+	for _, name := range repeatingHeaders {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[strings.ToLower(name)] = values
+		}
+	}
+}
+
 // SetKey gives an outgoing request its idempotency key.
 func SetKey(h http.Header, key string) {
 	delete(h, HeaderIdempotencyKey)
