Count a call that expires while it is settled as doubtful, and test each "not run"

What callers could see: 503 for a request that ran.

Cause: callExpired took a lost attempt for one that is over, and reported the call as not run while its guard was still being asked for the outcome.

Evidence: TestCallThatExpiresWhileItIsSettledMayHaveRun got not-run before. Fix: a call knows that it is being settled.

A requester that leaves while its attempt starts can't be reported falsely: only the handler that would answer it sends the attempt.

--- a/internal/decision/reducer/attempts_test.go
+++ b/internal/decision/reducer/attempts_test.go
@@ -80,3 +80,81 @@
 	effects = n.step(WorkArrived{Work: 99, Attempt: "a1", To: n.Self.Incarnation + 1, Service: routedService, Keyed: true, Replay: true})
 	c.Assert(refusalOf(effects, 99), qt.Equals, RefuseWork{Work: 99, Reason: RefusalRestarted, Outcome: OutcomeUnknown})
 }
+
+// settleAt returns what the guard answers to the question for the outcome of an attempt.
+func (n *routedNode) settleAt(attempt AttemptID, to uint64) Outcome {
+	for _, e := range n.step(SettleRequested{Work: 1000, Attempt: attempt, To: to}) {
+		if reply, ok := e.(SettleReply); ok {
+			return reply.Outcome
+		}
+	}
+	return ""
+}
+
+// An attempt is settled as not run only if it has not started, and then it never starts, whenever it arrives
+// and whatever becomes free.
+func TestSettledAttemptIsNotRunOnlyIfItNeverStarts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// prepare brings the attempt "a" into a state and returns the work that holds the slot, if any.
+		prepare func(n *routedNode) (holder WorkID)
+		want    Outcome
+	}{
+		{"never arrived", func(*routedNode) WorkID { return 0 }, OutcomeNotRun},
+		{"queued", func(n *routedNode) WorkID {
+			holder, _ := n.arriveKeyed("other", false)
+			n.arriveKeyed("a", false)
+			return holder
+		}, OutcomeNotRun},
+		{"running", func(n *routedNode) WorkID {
+			n.arriveKeyed("a", false)
+			return 0
+		}, OutcomeRunning},
+		{"ran", func(n *routedNode) WorkID {
+			id, _ := n.arriveKeyed("a", false)
+			n.step(WorkEnded{Work: id, Outcome: OutcomeRan})
+			return 0
+		}, OutcomeRan},
+		{"answer lost", func(n *routedNode) WorkID {
+			id, _ := n.arriveKeyed("a", false)
+			n.step(WorkEnded{Work: id, Outcome: OutcomeUnknown})
+			return 0
+		}, OutcomeUnknown},
+		{"rejected by the upstream", func(n *routedNode) WorkID {
+			id, _ := n.arriveKeyed("a", false)
+			n.step(WorkEnded{Work: id, Outcome: OutcomeNotRun})
+			return 0
+		}, OutcomeNotRun},
+		{"left the queue", func(n *routedNode) WorkID {
+			holder, _ := n.arriveKeyed("other", false)
+			id, _ := n.arriveKeyed("a", false)
+			n.step(WorkLeft{Work: id})
+			return holder
+		}, OutcomeNotRun},
+		{"ran before the process was suspended", func(n *routedNode) WorkID {
+			id, _ := n.arriveKeyed("a", false)
+			n.step(WorkEnded{Work: id, Outcome: OutcomeRan})
+			n.step(Tick{})
+			n.advance(time.Hour)
+			n.step(Tick{})
+			return 0
+		}, OutcomeRan},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newGuard(1)
+			holder := test.prepare(n)
+			c.Assert(n.settleAt("a", n.Self.Incarnation), qt.Equals, test.want)
+			c.Assert(n.settleAt("a", n.Self.Incarnation+1), qt.Equals, OutcomeUnknown)
+			if test.want != OutcomeNotRun {
+				return
+			}
+			if holder != 0 {
+				c.Assert(startedWork(n.end(holder)), qt.Equals, WorkID(0))
+			}
+			late, effects := n.arriveKeyed("a", false)
+			c.Assert(startedWork(effects), qt.Equals, WorkID(0))
+			c.Assert(refusalOf(effects, late).Outcome, qt.Equals, OutcomeNotRun)
+		})
+	}
+}
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -35,6 +35,8 @@
 	// mayHaveRun is set once an attempt of an idempotent call was lost: the call can no
 	// longer be reported as not run.
 	mayHaveRun bool
+	// settling is set while a guard is asked for the outcome of the call's lost attempt.
+	settling bool
 	// refusedBusy is set once a guard refused the call with RefusalBusy.
 	refusedBusy bool
 	// status is the HTTP status of the answer, or zero.
@@ -255,7 +257,7 @@
 	switch {
 	case c.heldKey != nil:
 		r.rejectDoubtful(c)
-	case inFlight:
+	case inFlight || c.settling:
 		r.reject(c, OutcomeUnknown, ProblemDeadline)
 	default:
 		r.reject(c, r.outcomeBeforeHome(c), ProblemDeadline)
--- a/internal/decision/reducer/home.go
+++ b/internal/decision/reducer/home.go
@@ -207,6 +207,7 @@
 		r.rejectDoubtful(c)
 		return
 	}
+	c.settling = true
 	r.emit(SettleAttempt{Call: c.id, Attempt: c.attempt.id, Target: c.attempt.target})
 }
 
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -130,6 +130,7 @@
 	if c == nil {
 		return
 	}
+	c.settling = false
 	r.trace.addSettled(r.now, c, c.attempt.peer, e.Outcome)
 	r.noteCallDecision(DecisionAttemptSettled, c, Decision{Reason: string(e.Outcome), BodySpent: e.BodySpent})
 	switch e.Outcome {
--- a/internal/decision/reducer/routed_test.go
+++ b/internal/decision/reducer/routed_test.go
@@ -246,6 +246,29 @@
 	}
 }
 
+// The deadline passes while the guard of a lost attempt is asked: the attempt may have run.
+func TestCallThatExpiresWhileItIsSettledMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(false)
+	n.peer(2, "r1", load(0, 50*time.Millisecond))
+	attempt := sent(c, n.call("/a/x", time.Second))
+	n.step(AttemptLost{Call: attempt.Call, Attempt: attempt.Attempt, Sent: true})
+	n.advance(2 * time.Second)
+	c.Assert(mustReject(c, n.step(CallExpired{Call: attempt.Call})).Outcome, qt.Equals, OutcomeUnknown)
+}
+
+// An entry that was suspended for longer than guards remember attempts must not ask for one: its guard would
+// take it for an attempt that never arrived.
+func TestAttemptThatGuardsMayHaveForgottenIsDoubtful(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(false)
+	n.peer(2, "r1", load(0, 50*time.Millisecond))
+	attempt := sent(c, n.call("/a/x", time.Second))
+	n.advance(n.Settings.KeyWindow + time.Second)
+	effects := n.step(AttemptLost{Call: attempt.Call, Attempt: attempt.Attempt, Sent: true})
+	c.Assert(mustReject(c, effects).Outcome, qt.Equals, OutcomeUnknown)
+}
+
 func TestDispatchedNonIdempotentCallIsNeverSentAgain(t *testing.T) {
 	c := qt.New(t)
 	n := newRoutedNode(false)
