Tell the connection of a second exchange which request it carries

A guard's own second exchange for a request without a key and a body opens a new connection, which did not learn the request's ID: a third one could have shared it. Found by reading; such a request may run again, so no promise was broken by it.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -199,6 +199,7 @@
 			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
 		})
 	case outcome == reducer.OutcomeNotRun, e.Replay && reason != "":
+		// A refused replay has a reason, too, whatever became of the attempt.
 		drain(resp)
 		x.entry.Loop.Do(reducer.AttemptRefused{
 			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(), Reason: reason,
--- a/internal/edge/upstream/pool.go
+++ b/internal/edge/upstream/pool.go
@@ -45,8 +45,8 @@
 }
 
 // get returns an idle connection to address that has been idle for at most maxIdle and has not
-// carried the request, or else a new one. It blocks while the limit of connections in use is reached. On success, the
-// caller must call release after use.
+// carried the request, or else a new one. It blocks while the limit of connections in use is
+// reached. On success, the caller must call release after use.
 func (p *pool) get(ctx context.Context, address, requestID string, maxIdle time.Duration) (*connection, error) {
 	if p.tokens != nil {
 		select {
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -64,7 +64,9 @@
 	if out.Context().Err() != nil || out.Body != http.NoBody {
 		return resp, err
 	}
-	retry := &exchange{pool: x.pool, address: r.address, match: x.match, skipMismatched: x.skipMismatched}
+	retry := &exchange{
+		pool: x.pool, address: r.address, requestID: x.requestID, match: x.match, skipMismatched: x.skipMismatched,
+	}
 	return retry.run(out)
 }
 
