--- a/internal/edge/caller/repeat_test.go
+++ b/internal/edge/caller/repeat_test.go
@@ -82,9 +82,6 @@
 	}
 }
 
-// realMesh is a mesh with a transport as the nodes have it.
-type realMesh struct{ transportFunc }
-
 // A connection between nodes breaks under a request: only the reducer may decide that an attempt is sent
 // again, whatever its method, headers and body are.
 func TestTransportSendsEachAttemptOnce(t *testing.T) {
@@ -112,7 +109,7 @@
 	defer transport.CloseIdleConnections()
 	l := &loop.Loop{Clock: time.Now, Background: func(reducer.Effect) {}, Reducer: &reducer.Reducer{Settings: reducer.DefaultSettings()}}
 	l.Prepare()
-	entry := &Entry{Loop: l, Mesh: realMesh{transport.RoundTrip}, MaxBufferedBytes: 64 << 10}
+	entry := &Entry{Loop: l, Mesh: transportFunc(transport.RoundTrip), MaxBufferedBytes: 64 << 10}
 	entry.Prepare()
 	req := httptest.NewRequest(method, "/entry/", strings.NewReader(body))
 	if header != "" {
