Read tenants, regions, warm-up and evacuations from the platform's configuration

Cause: two new customers ask for access keys, quotas, allowed regions, evacuated availability zones and bounds for cold upstreams; the configuration's fields for them were dropped while decoding.

--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -78,6 +78,11 @@
 		Routed bool
 		Host   string
 		Path   string
+		// AccessKeyDigest is the lower-case hexadecimal SHA-256 digest of the caller's access
+		// key, or empty without one.
+		AccessKeyDigest string
+		// Internal means that the upstream on this VM sent the request while it ran another one.
+		Internal bool
 	}
 
 	// AttemptAnswered reports the head of an answer that carries the attempt's ID.
@@ -242,6 +247,8 @@
 		// Started is the start time of that process by its own clock, or the latest possible one;
 		// zero means unknown.
 		Started time.Time
+		// WarmupRemaining is how long the upstream says it stays cold; zero means that it is warm.
+		WarmupRemaining time.Duration
 	}
 
 	// UpstreamLeft reports that a run of the upstream wants no new work any more. It may not be
--- a/internal/decision/reducer/plan.go
+++ b/internal/decision/reducer/plan.go
@@ -42,6 +42,26 @@
 	HealthPath string `json:"health_path,omitempty"`
 	// MaxConnections limits the connections to one upstream; zero means no limit.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// Warmup is how long an upstream stays cold after its start.
+	Warmup time.Duration `json:"warmup,omitempty"`
+	// WarmupRate is the number of requests per second that a cold upstream bears; zero sets no
+	// bound.
+	WarmupRate float64 `json:"warmup_rate,omitempty"`
+}
+
+// Tenant is a team whose callers identify themselves by access keys.
+type Tenant struct {
+	Name string `json:"name"`
+	// KeyDigests are the lower-case hexadecimal SHA-256 digests of the tenant's access keys.
+	KeyDigests []string `json:"key_digests,omitempty"`
+	// Priority replaces the priority of the route; zero is the highest.
+	Priority int `json:"priority,omitempty"`
+	// RatePerSecond and Burst limit the tenant's requests over all nodes together; a rate of
+	// zero sets no limit.
+	RatePerSecond float64 `json:"rate_per_second,omitempty"`
+	Burst         float64 `json:"burst,omitempty"`
+	// Regions lists the regions that may serve the tenant; empty allows all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // PlanSpec is the content of a plan as operators publish it. Base is the offset of the plan
@@ -53,11 +73,20 @@
 	Services []ServicePlan `json:"services"`
 	Routes   []Route       `json:"routes,omitempty"`
 	Limits   CallerLimits  `json:"limits,omitzero"`
+	// Tenants lists the teams that may use the routes that are not open; empty opens all routes.
+	Tenants []Tenant `json:"tenants,omitempty"`
+	// EvacuatedZones lists the availability zones whose upstreams get no new work.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
-// CallerLimits limits what a caller may send, in bytes; zero means no limit.
+// CallerLimits limits what a caller may send and how long it may take; zero means no limit.
 type CallerLimits struct {
-	BodyBytes int64 `json:"body_bytes,omitempty"`
+	BodyBytes   int64 `json:"body_bytes,omitempty"`
+	HeaderBytes int   `json:"header_bytes,omitempty"`
+	// HeaderTimeout bounds the time until a request's head is complete.
+	HeaderTimeout time.Duration `json:"header_timeout,omitempty"`
+	// IdleTimeout is how long a connection may stay open between two requests.
+	IdleTimeout time.Duration `json:"idle_timeout,omitempty"`
 }
 
 // Plan is an accepted configuration at its offset in the log.
--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -27,6 +27,10 @@
 	// MaxAttempts bounds the attempts of one call that may reach an upstream; values below
 	// one count as one.
 	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Open lets callers use the route without an access key.
+	Open bool `json:"open,omitempty"`
+	// Regions lists the regions that may serve the route; empty allows all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // RouteService is a service and its weight among a route's services.
