Select the tenant of a request by its access key

Cause: on a deployment with tenants every request was run without its tenant's name, also with unknown keys, and the key was passed on to guards and upstreams.

Change: an entry checks the key's digest against the plan in force and rejects a request without a known key with 401, unless its route is open or the upstream on its VM sent it. A plan without tenants changes nothing.

--- /dev/null
+++ b/internal/decision/reducer/access_test.go
@@ -0,0 +1,80 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// tenantPlan has a route that needs an access key and one that is open.
+func tenantPlan(version int64, keys ...string) Plan {
+	spec := routedPlan(version, true).Spec()
+	spec.Routes[1].Open = true
+	spec.Tenants = []Tenant{{Name: "t1", KeyDigests: keys}, {Name: "t2", KeyDigests: []string{"digest-of-t2"}}}
+	return NewPlan(version, spec)
+}
+
+func (n *routedNode) callWithKey(path, digest string, internal bool) []Effect {
+	n.calls++
+	return n.step(CallArrived{
+		Call: n.calls, Routed: true, Host: routedHost, Path: path, Retries: -1, Deadline: n.now.Add(time.Second),
+		Fingerprint: uint64(n.calls), AccessKeyDigest: digest, Internal: internal,
+	})
+}
+
+// A request must not run without a known key, run for another tenant than its key's, or take its key
+// to a guard; only open routes and the upstream's own calls need no key.
+func TestAccessKeysSelectTheTenant(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(true)
+	n.step(PlanPublished{Plan: tenantPlan(2, "digest-of-t1")})
+	ledger := MemberSpec{
+		Address: "10.0.0.3:7600", Incarnation: 3, Started: n.now, Version: 1, Region: "r1", Zone: "z1",
+		Service: "ledger", Upstream: "10.0.0.3:8080", Slots: 6,
+	}
+	n.report(ledger, load(0, time.Millisecond))
+	n.peer(2, "r1", load(0, time.Millisecond))
+	for _, test := range []struct {
+		name, path, digest string
+		internal           bool
+		rejected           bool
+		tenant             string
+	}{
+		{"known key", "/a/x", "digest-of-t1", false, false, "t1"},
+		{"key of another tenant", "/a/x", "digest-of-t2", false, false, "t2"},
+		{"unknown key", "/a/x", "digest", false, true, ""},
+		{"no key", "/a/x", "", false, true, ""},
+		{"unknown key on an open route", "/a/b/x", "digest", false, false, ""},
+		{"no key on an open route", "/a/b/x", "", false, false, ""},
+		{"call of the upstream", "/a/x", "", true, false, ""},
+		{"unknown key from the upstream's VM", "/a/x", "digest", true, true, ""},
+	} {
+		effects := n.callWithKey(test.path, test.digest, test.internal)
+		if test.rejected {
+			reject := mustReject(c, effects)
+			c.Check(reject.Problem, qt.Equals, ProblemUnauthorized, qt.Commentf(test.name))
+			c.Check(reject.Outcome, qt.Equals, OutcomeNotRun)
+			continue
+		}
+		sent, ok := effects[0].(SendAttempt)
+		c.Assert(ok, qt.IsTrue, qt.Commentf(test.name))
+		c.Check(sent.Tenant, qt.Equals, test.tenant, qt.Commentf(test.name))
+		c.Check(sent.HideCredentials, qt.IsTrue)
+	}
+}
+
+// A key that a new plan takes away must be refused from the next request on, while a plan without
+// tenants leaves the callers' headers alone.
+func TestRemovedAccessKeyIsRefused(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(true)
+	n.peer(2, "r1", load(0, time.Millisecond))
+	sent, _ := n.callWithKey("/a/x", "anything", false)[0].(SendAttempt)
+	c.Assert(sent.HideCredentials, qt.IsFalse)
+	n.step(PlanPublished{Plan: tenantPlan(2, "k1", "k2")})
+	_, ok := n.callWithKey("/a/x", "k1", false)[0].(SendAttempt)
+	c.Assert(ok, qt.IsTrue)
+	n.step(PlanPublished{Plan: tenantPlan(3, "k2")})
+	c.Assert(mustReject(c, n.callWithKey("/a/x", "k1", false)).Problem, qt.Equals, ProblemUnauthorized)
+}
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -12,6 +12,10 @@
 	kind    *indexedKind
 	// route is the plan's route of a routed call, or nil.
 	route *indexedRoute
+	// tenant is the owner of the caller's access key, or nil.
+	tenant *Tenant
+	// hideCredentials is set if the request's access key must not leave this entry.
+	hideCredentials bool
 	// objective is the time after which an answer loses most of its value, or zero.
 	objective time.Time
 	requestID string
@@ -182,6 +186,7 @@
 		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
 		Retries: c.retriesLeft, Replay: c.attempt.replay, Repeat: c.sends > 0, Fingerprint: c.fingerprint,
 		RefuseIfBusy: r.refuseIfBusy(c), Service: c.service, Objective: c.objective, RequestID: c.requestID,
+		Tenant: c.tenantName(), HideCredentials: c.hideCredentials,
 	}
 }
 
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -48,6 +48,10 @@
 	ProblemUnknownKind    ProblemKind = "unknown-kind"
 	ProblemUnknownRoute   ProblemKind = "unknown-route"
 	ProblemUnknownService ProblemKind = "unknown-service"
+	// ProblemUnauthorized means that the request has no known access key.
+	ProblemUnauthorized ProblemKind = "unauthorized"
+	// ProblemQuotaExceeded means that the tenant has used up its quota.
+	ProblemQuotaExceeded ProblemKind = "quota-exceeded"
 )
 
 // RefusalReason states why a guard did not run an attempt.
@@ -127,6 +131,11 @@
 		// Objective is the latency objective as an instant, after which an answer loses
 		// most of its value, or zero.
 		Objective time.Time
+		// Tenant is the name of the caller's tenant, or empty.
+		Tenant string
+		// HideCredentials means that the request is sent without the caller's access key and
+		// without a tenant of the caller's own choice.
+		HideCredentials bool
 	}
 
 	// ForwardCall forwards the call's request to the node that is the home of its key.
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -58,6 +58,8 @@
 	planInForce Plan
 	// planInForceIndex indexes the services and kinds of planInForce.
 	planInForceIndex planIndex
+	// tenants holds the tenants of the plan in force.
+	tenants tenantTable
 
 	calls map[CallID]*call
 	// callsAwaitingTable holds the keyed calls that wait for a home table of their service.
@@ -319,6 +321,7 @@
 		r.planInForceIndex[s.Name] = indexed
 	}
 	r.routes.setRoutes(plan.spec.Routes)
+	r.tenants = newTenantTable(plan.spec.Tenants)
 	r.reportSoon()
 	r.members.rebuildServices(r.planInForceIndex)
 	r.refuseQueueWhenLeaving()
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -22,6 +22,10 @@
 		r.reject(c, OutcomeNotRun, problem)
 		return
 	}
+	if problem := r.authorize(c, e); problem != "" {
+		r.reject(c, OutcomeNotRun, problem)
+		return
+	}
 	c.keyed = !c.route.route.Idempotent
 	r.earnRoutedRetry(c.service)
 	if r.suspects.quarantined(c.fingerprint) {
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -122,6 +122,9 @@
 	traced, connected := peer.TraceConnection(ctx)
 	out := x.newRequest(e.Target, e.Deadline, e.Retries).WithContext(traced)
 	h := out.Header
+	if e.HideCredentials {
+		x.entry.Protocol.SetTenant(h, e.Tenant)
+	}
 	h[peer.HeaderAttempt] = []string{string(e.Attempt)}
 	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
 	h[peer.HeaderKind] = []string{e.Kind}
--- a/internal/edge/caller/nativeprotocol.go
+++ b/internal/edge/caller/nativeprotocol.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// SetTenant removes the Authorization header. The native protocol has no header for tenants.
+func (nativeProtocol) SetTenant(h http.Header, _ string) { delete(h, "Authorization") }
+
 // SetAnswerHeaders sets the attempt, the outcome and the key.
 func (nativeProtocol) SetAnswerHeaders(h http.Header, relay reducer.RelayAnswer) {
 	h[peer.HeaderAttempt] = []string{string(relay.Attempt)}
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -57,6 +57,8 @@
 	reducer.ProblemOverloaded:      {http.StatusServiceUnavailable, "The service is overloaded", "send the request again later, with backoff"},
 	reducer.ProblemQuarantined:     {http.StatusUnprocessableEntity, "The request was in flight when upstreams crashed", "don't send it again; report it to the service's owners"},
 	reducer.ProblemStopping:        {http.StatusServiceUnavailable, "The node is stopping", "send the request to another node"},
+	reducer.ProblemUnauthorized:    {http.StatusUnauthorized, "The access key is unknown", "send an access key that the plan gives to a tenant"},
+	reducer.ProblemQuotaExceeded:   {http.StatusTooManyRequests, "The tenant has used up its quota", "send the request again later"},
 	reducer.ProblemUnknownKind:     {http.StatusBadRequest, "The plan has no such kind", "name one of the service's kinds in Tanagerline-Kind"},
 	reducer.ProblemUnknownService:  {http.StatusNotFound, "The plan has no such service", "begin the path with a service of the plan"},
 }
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -50,6 +50,7 @@
 	writeText(line, "attempt", string(decided.Attempt))
 	writeText(line, "service", decided.Service)
 	writeText(line, "route", decided.Route)
+	writeText(line, "tenant", decided.Tenant)
 	writeText(line, "peer", decided.Peer)
 	writeText(line, "instance", decided.Instance)
 	writeText(line, "reason", decided.Reason)
