Read the plan sooner after a loss of power at all machines

Cause: after all machines lost power, nodes answered "no plan" for 0.25 to 0.4 s. Peers that started at the same time had none either; a node waited 150 ms for their reports and then looked only every 200 ms whether it had to read the plan store itself.

Change: a node without a plan waits 50 ms for reports, two round trips between regions, and looks every 20 ms.

Result: TestNodeWithoutPlanSoonReadsThePlanStore failed before with 199 ms.

--- a/internal/mesh/node/adapter.go
+++ b/internal/mesh/node/adapter.go
@@ -29,7 +29,7 @@
 	// listWait is how long a node that starts waits for the directory before it reads
 	// plans, and introductionWait how long after that peers may take to report.
 	listWait         = 600 * time.Millisecond
-	introductionWait = 150 * time.Millisecond
+	introductionWait = 50 * time.Millisecond
 )
 
 // Directory is where members find each other, and where a process leaves what the next one at its
@@ -175,11 +175,18 @@
 	read := time.NewTimer(unwatchedPeriod/2 + rand.N(unwatchedPeriod))
 	defer read.Stop()
 	for {
-		watches := false
-		n.loop.Inspect(func(r *reducer.Reducer) { watches = r.WatchesPlanStore() })
+		watches, planless := false, false
+		n.loop.Inspect(func(r *reducer.Reducer) {
+			watches = r.WatchesPlanStore()
+			planless = r.Plan().Offset() == 0
+		})
 		if watches {
 			return
 		}
+		if planless {
+			// Callers are rejected until there is a plan.
+			ticker.Reset(adapterTick)
+		}
 		select {
 		case <-ctx.Done():
 			return
