Keep calls within the regions that their route allows

Cause: the plan names the regions that may serve a route or a tenant, and placement ignored them.

Change: a call keeps its allowed regions, and placeable tests them for each choice of an upstream. Tenants' regions take effect once calls have a tenant.

Without the test in placeable, TestCallOfAFullRegionIsRejectedAtOnceAndNotSentElsewhere and TestLimitedCallsNeverLeaveTheirRegions fail.

--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/tenant"
 )
 
 // call is the entry's state of one caller's request.
@@ -12,6 +14,8 @@
 	kind    *indexedKind
 	// route is the plan's route of a routed call, or nil.
 	route *indexedRoute
+	// regions holds the regions that may serve the call.
+	regions tenant.Regions
 	// objective is the time after which an answer loses most of its value, or zero.
 	objective time.Time
 	requestID string
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -75,6 +75,8 @@
 	Status int
 	// Basis is what the outcome in Reason was concluded from.
 	Basis OutcomeBasis
+	// RegionsLimited is set if the call may be served in some regions only.
+	RegionsLimited bool
 	// Skipped is the number of answers to other requests that came before the attempt's.
 	Skipped int
 }
@@ -103,6 +105,7 @@
 	d.Remaining = c.deadline.Sub(r.now)
 	d.Took = r.now.Sub(c.arrived)
 	d.Tries = len(c.tried)
+	d.RegionsLimited = c.regions.Limited()
 	if c.kind != nil {
 		d.Route = c.kind.kind.Name
 	}
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -34,6 +34,9 @@
 	if s == nil {
 		return nil
 	}
+	if !c.regions.Allows(r.Self.Region) {
+		return r.placeOutsideOwnRegion(c, s)
+	}
 	if len(c.tried) < maxRoutedTries {
 		if p := r.placeUntried(c, s); p != nil {
 			return p
@@ -78,20 +81,20 @@
 		return score
 	}
 	subset := r.members.subset(s)
-	if best := r.lowestScoring(subset[tierSelf:tierOtherRegion], fits, score); best != nil {
+	if best := r.lowestScoring(c, subset[tierSelf:tierOtherRegion], fits, score); best != nil {
 		return best
 	}
-	return r.lowestScoring(s.tiers[tierSelf:tierOtherRegion], fits, score)
+	return r.lowestScoring(c, s.tiers[tierSelf:tierOtherRegion], fits, score)
 }
 
 // lowestScoring returns the placeable upstream with the lowest score among those that fit, or
 // nil.
-func (r *Reducer) lowestScoring(tiers [][]*peer, fits func(*peer) bool, score func(*peer) time.Duration) *peer {
+func (r *Reducer) lowestScoring(c *call, tiers [][]*peer, fits func(*peer) bool, score func(*peer) time.Duration) *peer {
 	var best *peer
 	var bestScore time.Duration
 	for _, peers := range tiers {
 		for _, p := range peers {
-			if !fits(p) || !r.placeable(p) {
+			if !fits(p) || !r.placeable(c, p) {
 				continue
 			}
 			if s := score(p); best == nil || s < bestScore {
@@ -139,16 +142,26 @@
 	fits := func(p *peer) bool {
 		return !c.hasTried(p) && (len(c.tried) == 0 || p.load(r.now) <= maxRemoteLoadPerSlot*p.slots())
 	}
+	return r.bestInOtherRegions(c, s, fits)
+}
+
+// bestInOtherRegions returns the fitting upstream of other regions with the earliest estimated
+// completion, or nil. Only where none of the entry's subset fits it takes any other.
+func (r *Reducer) bestInOtherRegions(c *call, s *servicePeers, fits func(*peer) bool) *peer {
 	score := func(p *peer) time.Duration { return r.estimatedCompletion(p) + r.jitter(latencyOtherRegion) }
 	subset := r.members.subset(s)
-	if best := r.lowestScoring(subset[tierOtherRegion:], fits, score); best != nil {
+	if best := r.lowestScoring(c, subset[tierOtherRegion:], fits, score); best != nil {
 		return best
 	}
-	return r.lowestScoring(s.tiers[tierOtherRegion:], fits, score)
+	return r.lowestScoring(c, s.tiers[tierOtherRegion:], fits, score)
 }
 
-// placeable reports whether a routed call may be sent to the peer's upstream.
-func (r *Reducer) placeable(p *peer) bool {
+// placeable reports whether a routed call may be sent to the peer's upstream. Every choice of an
+// upstream for a routed call must pass this test.
+func (r *Reducer) placeable(c *call, p *peer) bool {
+	if !c.regions.Allows(p.member.Region()) {
+		return false
+	}
 	if p.member.Leaving() || p.excluded || r.now.Before(p.avoidUntil) || p.member.Upstream() == "" {
 		return false
 	}
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -22,6 +22,7 @@
 		r.reject(c, OutcomeNotRun, problem)
 		return
 	}
+	r.resolveRegions(c)
 	c.keyed = !c.route.route.Idempotent
 	r.earnRoutedRetry(c.service)
 	if r.suspects.quarantined(c.fingerprint) {
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -57,6 +57,9 @@
 	if decided.BodySpent {
 		line.Str("body", "spent")
 	}
+	if decided.RegionsLimited {
+		line.Str("regions", "limited")
+	}
 	line = line.Int64("plan", decided.Plan).Float64("load", decided.Load)
 	writeTime(line, "report_age", decided.ReportAge)
 	writeTime(line, "expected", decided.Expected)
@@ -110,6 +113,9 @@
 		name += "." + decided.Reason
 	}
 	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
+	if decided.RegionsLimited {
+		metrics.GetOrRegisterCounter("regions.limited."+string(decided.Kind), d.registry).Inc(1)
+	}
 	switch decided.Kind {
 	case reducer.DecisionCallAnswered, reducer.DecisionCallRejected:
 		d.histogram("call.microseconds." + string(decided.Kind)).Update(decided.Took.Microseconds())
