Give the upstreams of evacuated availability zones no new work

Cause: operators can evacuate an availability zone; the plan lists the zone, and nothing acted on it.

Change: entries choose no upstream of an evacuated zone, for unrouted and internal calls too, and subsets leave it out. The zone's guards refuse arriving and queued attempts with the new reason evacuated, which entries take like leaving, and send no probes. TestInvariantsUnderFaults publishes evacuations, too, and fails if an attempt starts in an evacuated zone.

--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -34,6 +34,10 @@
 	DecisionUpstreamChanged  DecisionKind = "upstream-changed"
 	DecisionMemberChanged    DecisionKind = "member-changed"
 	DecisionRequestSuspected DecisionKind = "request-suspected"
+	// DecisionEvacuationBegun and DecisionEvacuationEnded report that the plan began or ended the
+	// evacuation of this node's availability zone.
+	DecisionEvacuationBegun DecisionKind = "evacuation-begun"
+	DecisionEvacuationEnded DecisionKind = "evacuation-ended"
 )
 
 // Decision reports a decision and its inputs to operators. Fields that don't apply to the
@@ -86,7 +90,8 @@
 // TouchesRequest reports whether the decision is about one request.
 func (d Decision) TouchesRequest() bool {
 	switch d.Kind {
-	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected:
+	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected,
+		DecisionEvacuationBegun, DecisionEvacuationEnded:
 		return false
 	default:
 		return true
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -63,6 +63,9 @@
 	RefusalDeadline RefusalReason = "deadline"
 	// RefusalDisplaced removes a queued attempt in favor of one with a larger weight.
 	RefusalDisplaced RefusalReason = "displaced"
+	// RefusalEvacuated means that the guard admits no work to its upstream because the upstream's
+	// availability zone is evacuated, or was until a moment ago.
+	RefusalEvacuated RefusalReason = "evacuated"
 	// RefusalFull means that the queue is full.
 	RefusalFull RefusalReason = "full"
 	// RefusalLeaving means that the guard admits no more work to its upstream.
--- /dev/null
+++ b/internal/decision/reducer/evacuation.go
@@ -0,0 +1,46 @@
+package reducer
+
+import "slices"
+
+// updateEvacuation applies the plan's evacuated zones to this node's guard.
+func (r *Reducer) updateEvacuation() {
+	g := &r.guard
+	evacuated := slices.Contains(r.planInForce.spec.EvacuatedZones, r.Self.Zone)
+	if evacuated == g.evacuated {
+		return
+	}
+	g.evacuated = evacuated
+	kind := DecisionEvacuationEnded
+	if evacuated {
+		kind = DecisionEvacuationBegun
+	}
+	r.noteDecision(Decision{Kind: kind, Reason: r.Self.Zone, Service: g.service, Peer: g.upstream, Plan: r.planInForce.offset})
+}
+
+// closedReason returns why the guard admits no work to its upstream, or an empty reason.
+func (r *Reducer) closedReason() RefusalReason {
+	switch {
+	case r.upstreamLeaving():
+		return RefusalLeaving
+	case r.guard.evacuated:
+		return RefusalEvacuated
+	default:
+		return ""
+	}
+}
+
+// refuseQueueWhenClosed refuses all queued attempts if the guard admits no work to its upstream, so
+// that their entries can retry them elsewhere.
+func (r *Reducer) refuseQueueWhenClosed() {
+	reason := r.closedReason()
+	if reason == "" {
+		return
+	}
+	g := &r.guard
+	for _, q := range []*workQueue{&g.short, &g.long} {
+		for _, w := range slices.Clone(q.works) {
+			r.dropQueued(w, reason)
+		}
+	}
+	r.refuseAdmitted(reason)
+}
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -48,6 +48,8 @@
 	answeredAt time.Time
 	// run identifies the upstream's process, as far as it is known.
 	run UpstreamRun
+	// evacuated is set while the plan evacuates this node's availability zone.
+	evacuated bool
 	// leaving holds the runs that announced their leaving, the current one or others.
 	leaving   leavingRuns
 	admission admission
@@ -108,24 +110,6 @@
 	*estimate += time.Duration(serviceTimeWeight * float64(took-*estimate))
 }
 
-// loadReport returns the guard's current load. Its service time is the mean of attempts with
-// an objective if there were any, otherwise that of short work.
-func (r *Reducer) loadReport() LoadReport {
-	g := &r.guard
-	short := g.running - g.runningLong + len(g.short.works) + g.admission.waiting()
-	long := g.runningLong + len(g.long.works)
-	report := NewLoadReport(short, long, g.slots, g.shortTime, r.planInForce.offset)
-	if g.admission.meanTime > 0 {
-		report.serviceTime = g.admission.meanTime
-	}
-	report.pace = g.admission.currentPace(r.now)
-	report.failures = int(100 * g.admission.failureShare(r.now))
-	return report
-}
-
-// LoadReport returns the guard's current load, which is sent with every answer.
-func (r *Reducer) LoadReport() LoadReport { return r.loadReport() }
-
 // workArrived admits, queues, replays or refuses an attempt.
 func (r *Reducer) workArrived(e WorkArrived) {
 	r.lastArrival = r.now
@@ -191,8 +175,8 @@
 	switch {
 	case g.service != service || g.upstream == "" || g.upstreamDown:
 		return RefusalNoUpstream
-	case r.upstreamLeaving():
-		return RefusalLeaving
+	case r.closedReason() != "":
+		return r.closedReason()
 	case r.suspects.quarantined(w.fingerprint):
 		return RefusalQuarantined
 	case w.keyed && r.attemptRecords.records[w.attempt] != nil:
@@ -288,7 +272,7 @@
 // startWork starts queued attempts while slots are free.
 func (r *Reducer) startWork() {
 	g := &r.guard
-	if g.upstreamDown || r.upstreamLeaving() {
+	if g.upstreamDown || r.closedReason() != "" {
 		return
 	}
 	r.requestBodies()
@@ -411,18 +395,3 @@
 		}
 	}
 }
-
-// refuseQueueWhenLeaving refuses all queued attempts if the upstream is leaving, so that
-// their entries can retry them elsewhere.
-func (r *Reducer) refuseQueueWhenLeaving() {
-	if !r.upstreamLeaving() {
-		return
-	}
-	g := &r.guard
-	for _, q := range []*workQueue{&g.short, &g.long} {
-		for _, w := range slices.Clone(q.works) {
-			r.dropQueued(w, RefusalLeaving)
-		}
-	}
-	r.refuseAdmitted(RefusalLeaving)
-}
--- a/internal/decision/reducer/load.go
+++ b/internal/decision/reducer/load.go
@@ -94,3 +94,21 @@
 	b = strconv.AppendInt(b, int64(l.failures), 10)
 	return string(b)
 }
+
+// loadReport returns the guard's current load. Its service time is the mean of attempts with
+// an objective if there were any, otherwise that of short work.
+func (r *Reducer) loadReport() LoadReport {
+	g := &r.guard
+	short := g.running - g.runningLong + len(g.short.works) + g.admission.waiting()
+	long := g.runningLong + len(g.long.works)
+	report := NewLoadReport(short, long, g.slots, g.shortTime, r.planInForce.offset)
+	if g.admission.meanTime > 0 {
+		report.serviceTime = g.admission.meanTime
+	}
+	report.pace = g.admission.currentPace(r.now)
+	report.failures = int(100 * g.admission.failureShare(r.now))
+	return report
+}
+
+// LoadReport returns the guard's current load, which is sent with every answer.
+func (r *Reducer) LoadReport() LoadReport { return r.loadReport() }
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -81,6 +81,8 @@
 	// earliest time at which it may be fetched from there.
 	crossRegionPlanOffset int64
 	crossRegionPlanDue    time.Time
+	// evacuatedZones holds the availability zones whose upstreams get no new work.
+	evacuatedZones []string
 	// generation counts the changes of the services and of their members, from one.
 	generation int
 	// refreshDue is when expiry and outlier ejection run next.
@@ -200,6 +202,7 @@
 			services[name] = s
 		}
 		p.applyPolicy(index[name])
+		p.evacuated = slices.Contains(m.evacuatedZones, p.member.Zone())
 		s.all = append(s.all, p)
 		s.tiers[p.tier] = append(s.tiers[p.tier], p)
 	}
--- a/internal/decision/reducer/model_test.go
+++ b/internal/decision/reducer/model_test.go
@@ -183,8 +183,11 @@
 				if rapid.IntRange(0, 3).Draw(t, "leaving") == 0 {
 					leaving = append(leaving, "u"+pickNode(t).address)
 				}
+				evacuated := rapid.SampledFrom([][]string{nil, nil, {"amman-1"}, {"amman-2"}}).Draw(t, "evacuated")
 				id := "p" + uuid.NewSHA1(uuid.NameSpaceOID, []byte{byte(counter)}).String()
-				w.log = append(w.log, Record{ID: id, Plan: ptr(worldPlan(id, base, leaving...))})
+				plan := worldPlan(id, base, leaving...)
+				plan.EvacuatedZones = evacuated
+				w.log = append(w.log, Record{ID: id, Plan: &plan})
 			},
 			"settle down": func(*rapid.T) { w.runRounds(3) },
 			"replace": func(t *rapid.T) {
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -56,7 +56,7 @@
 		p.recordReport(e.Load, r.now, r.Settings.ReportPeriod)
 	}
 	switch e.Reason {
-	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted:
+	case RefusalLeaving, RefusalEvacuated, RefusalNoUpstream, RefusalRestarted:
 		p.avoid(r.now)
 	case RefusalUnreachable:
 		p.unreachable(r.now)
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -61,6 +61,8 @@
 	plansReachable bool
 	// excluded reports whether the plan excludes the upstream from new work.
 	excluded bool
+	// evacuated reports whether the plan evacuates the upstream's availability zone.
+	evacuated bool
 	// weight is the plan's weight for the peer's region; zero sends no work there.
 	weight int
 
@@ -254,9 +256,12 @@
 	return max(expected, minServiceTime)
 }
 
+// closed reports whether the upstream gets no new work, whatever its load.
+func (p *peer) closed() bool { return p.member.Leaving() || p.excluded || p.evacuated }
+
 // usable reports whether new attempts may be sent to the peer.
 func (p *peer) usable(now time.Time) bool {
-	if p.member.Leaving() || p.excluded || p.weight == 0 {
+	if p.closed() || p.weight == 0 {
 		return false
 	}
 	if now.Before(p.avoidUntil) || now.Before(p.ejectedUntil) {
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -162,7 +162,7 @@
 	if !c.regions.Allows(p.member.Region()) {
 		return false
 	}
-	if p.member.Leaving() || p.excluded || r.now.Before(p.avoidUntil) || p.member.Upstream() == "" {
+	if p.closed() || r.now.Before(p.avoidUntil) || p.member.Upstream() == "" {
 		return false
 	}
 	return p.tier == tierSelf || r.reportedRecently(p)
--- a/internal/decision/reducer/probe.go
+++ b/internal/decision/reducer/probe.go
@@ -44,7 +44,7 @@
 func (r *Reducer) probe() {
 	g := &r.guard
 	p := &r.probes
-	if g.upstream == "" || p.inFlight || r.now.Before(p.due) || r.stopping {
+	if g.upstream == "" || p.inFlight || r.now.Before(p.due) || r.stopping || g.evacuated {
 		return
 	}
 	if r.now.Before(g.answeredAt.Add(r.Settings.FreshAnswer)) {
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -320,8 +320,10 @@
 	}
 	r.routes.setRoutes(plan.spec.Routes)
 	r.reportSoon()
+	r.members.evacuatedZones = plan.spec.EvacuatedZones
 	r.members.rebuildServices(r.planInForceIndex)
-	r.refuseQueueWhenLeaving()
+	r.updateEvacuation()
+	r.refuseQueueWhenClosed()
 }
 
 // recordRead applies one record of the log to the state.
--- a/internal/decision/reducer/retry.go
+++ b/internal/decision/reducer/retry.go
@@ -22,7 +22,7 @@
 	switch reason {
 	case RefusalDeadline:
 		return ProblemDeadline
-	case RefusalNoUpstream, RefusalUnreachable, RefusalRestarted, RefusalLeaving:
+	case RefusalNoUpstream, RefusalUnreachable, RefusalRestarted, RefusalLeaving, RefusalEvacuated:
 		return ProblemNoUpstream
 	default:
 		return ProblemOverloaded
@@ -38,7 +38,7 @@
 // refusals can't cause a retry storm.
 func (r *Reducer) maySkipUpstream(c *call, reason RefusalReason) bool {
 	switch reason {
-	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
+	case RefusalLeaving, RefusalEvacuated, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
 	default:
 		return false
 	}
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -52,7 +52,7 @@
 	case RefusalShed:
 		c.sends++
 		again = again && r.takeRoutedRetry(c)
-	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
+	case RefusalLeaving, RefusalEvacuated, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
 		again = again && len(c.tried) < maxUnavailableTries
 	case RefusalQuarantined:
 		again = false
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -143,7 +143,7 @@
 func (r *Reducer) lastResort(s *servicePeers, c *call) *peer {
 	var untried []*peer
 	for _, p := range s.all {
-		if p.member.Leaving() || p.excluded || c.hasTried(p) {
+		if p.closed() || c.hasTried(p) {
 			continue
 		}
 		if r.now.Before(p.avoidUntil) && r.now.Before(p.ejectedUntil) {
@@ -287,7 +287,7 @@
 // eligible reports whether a baseline policy may pick the upstream: it is neither leaving,
 // excluded by the plan, avoided after a refusal nor already tried for this call.
 func eligible(r *Reducer, c *call, p *peer) bool {
-	return !p.member.Leaving() && !p.excluded && !r.now.Before(p.avoidUntil) && !c.hasTried(p)
+	return !p.closed() && !r.now.Before(p.avoidUntil) && !c.hasTried(p)
 }
 
 // shuffled returns the eligible upstreams of a service in a random order.
--- a/internal/decision/reducer/stop.go
+++ b/internal/decision/reducer/stop.go
@@ -12,7 +12,7 @@
 	r.lingerUntil = r.now.Add(r.Settings.StopLinger)
 	r.admitUntil = r.now.Add(r.Settings.StopOpen)
 	r.announceSelf()
-	r.refuseQueueWhenLeaving()
+	r.refuseQueueWhenClosed()
 	for _, p := range r.members.order {
 		if p.tier != tierSelf && p.member.Service() == r.guard.service {
 			r.emit(SendExchange{Address: p.member.ID().Address(), Digest: r.digest(), Members: []Member{r.members.self}})
@@ -59,7 +59,7 @@
 	}
 	r.admitUntil = time.Time{}
 	r.announceSelf()
-	r.refuseQueueWhenLeaving()
+	r.refuseQueueWhenClosed()
 }
 
 // stopPending reports whether a stopping node has work in flight or shares to hand over.
--- a/internal/decision/reducer/subset.go
+++ b/internal/decision/reducer/subset.go
@@ -44,7 +44,7 @@
 	before := 0
 	for _, other := range peers {
 		// The cheapest test comes first: this runs for every pair of members.
-		if subsetOrder(entry, other.subsetKey) >= mine || other == p || other.member.Leaving() || !fits(other) {
+		if subsetOrder(entry, other.subsetKey) >= mine || other == p || other.member.Leaving() || other.evacuated || !fits(other) {
 			continue
 		}
 		before++
@@ -63,7 +63,7 @@
 	var chosen []*peer
 	for _, p := range peers {
 		sameRegion := func(other *peer) bool { return other.member.Region() == p.member.Region() }
-		if !p.member.Leaving() && inSubset(entry, p, peers, limit, sameRegion) {
+		if !p.member.Leaving() && !p.evacuated && inSubset(entry, p, peers, limit, sameRegion) {
 			chosen = append(chosen, p)
 		}
 	}
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -29,7 +29,7 @@
 	if changed {
 		r.announceSelf()
 	}
-	r.refuseQueueWhenLeaving()
+	r.refuseQueueWhenClosed()
 	r.startWork()
 }
 
--- a/internal/decision/reducer/upstreamrun.go
+++ b/internal/decision/reducer/upstreamrun.go
@@ -87,5 +87,5 @@
 	}
 	g.draining = true
 	r.announceSelf()
-	r.refuseQueueWhenLeaving()
+	r.refuseQueueWhenClosed()
 }
--- a/internal/decision/reducer/worldnode_test.go
+++ b/internal/decision/reducer/worldnode_test.go
@@ -138,6 +138,9 @@
 	if n.leaveRequested || n.leavingInPlan() {
 		n.w.t.Fatalf("%s started %s while leaving", n.address, k.attempt)
 	}
+	if slices.Contains(n.r.Plan().Spec().EvacuatedZones, n.r.Self.Zone) {
+		n.w.t.Fatalf("%s started %s in an evacuated zone", n.address, k.attempt)
+	}
 	if k.replay {
 		n.w.t.Fatalf("a replay of %s started a run", k.attempt)
 	}
