Bound the requests that a cold upstream gets

Cause: a cold upstream crashes well above a few requests a second, and a whole availability zone of them comes back at once when its evacuation ends.

Change: the guard takes a token of the plan's rate before it starts an attempt or a probe. Admission counts the wait for tokens and refuses what would start too late as busy at once; the load report shows the slots that the rate keeps busy. After an evacuation the guard stays closed until the health endpoint has told how long the upstream stays cold, and a new process bounds the upstream until that is known.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -154,7 +154,7 @@
 func (r *Reducer) admit(w *work, impatient bool) RefusalReason {
 	g := &r.guard
 	a := &g.admission
-	wait := max(r.queueWait(w), r.bodyWait(w))
+	wait := max(r.queueWait(w), r.bodyWait(w), g.cold.Wait(len(a.inTime)+1, r.now))
 	finish := r.now.Add(wait + a.expected(w, r.now))
 	if !finish.Add(returnAllowance + wait*waitMarginPercent/100).After(w.objective) {
 		a.push(w, r.now)
@@ -163,6 +163,9 @@
 	if impatient && !r.startsLate(w) {
 		return RefusalBusy
 	}
+	if r.tooLateWhileCold(w) {
+		return RefusalBusy
+	}
 	if g.running >= r.usableSlots() && !r.worthQueueingLate(w) {
 		return RefusalDeadline
 	}
@@ -185,7 +188,7 @@
 func (r *Reducer) startsLate(w *work) bool {
 	a := &r.guard.admission
 	hopeless := !r.now.Add(a.usualTime(w) + returnAllowance).Before(w.objective)
-	return hopeless && startable(w) && r.guard.running < r.usableSlots() && a.waiting() == 0 &&
+	return hopeless && startable(w) && r.guard.running < r.usableSlots() && a.waiting() == 0 && r.guard.cold.Ready(r.now) &&
 		r.now.Add(a.expected(w, r.now)+returnAllowance).Before(w.deadline)
 }
 
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -38,6 +38,13 @@
 	// evacuation of this node's availability zone.
 	DecisionEvacuationBegun DecisionKind = "evacuation-begun"
 	DecisionEvacuationEnded DecisionKind = "evacuation-ended"
+	// DecisionUpstreamCold and DecisionUpstreamWarm report that the bound on the requests of a cold
+	// upstream began or ceased to apply. Expected is the time until its end.
+	DecisionUpstreamCold DecisionKind = "upstream-cold"
+	DecisionUpstreamWarm DecisionKind = "upstream-warm"
+	// DecisionWarmupQueried reports the end of the query how long the upstream stays cold: Reason is
+	// "answered" or "no-answer".
+	DecisionWarmupQueried DecisionKind = "warmup-queried"
 )
 
 // Decision reports a decision and its inputs to operators. Fields that don't apply to the
@@ -81,6 +88,8 @@
 	Basis OutcomeBasis
 	// RegionsLimited is set if the call may be served in some regions only.
 	RegionsLimited bool
+	// Cold is set if the upstream is cold and its requests are bounded.
+	Cold bool
 	// Skipped is the number of answers to other requests that came before the attempt's.
 	Skipped int
 }
@@ -91,7 +100,7 @@
 func (d Decision) TouchesRequest() bool {
 	switch d.Kind {
 	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected,
-		DecisionEvacuationBegun, DecisionEvacuationEnded:
+		DecisionEvacuationBegun, DecisionEvacuationEnded, DecisionUpstreamCold, DecisionUpstreamWarm, DecisionWarmupQueried:
 		return false
 	default:
 		return true
@@ -150,6 +159,7 @@
 	return Decision{
 		Kind: kind, Request: w.requestID, Attempt: w.attempt, Service: r.guard.service, Route: w.route,
 		Reason: reason, Plan: r.planInForce.offset, Load: float64(r.guard.running + r.guard.queued()),
+		Cold:     r.guard.cold.Binds(r.now),
 		Expected: r.guard.admission.expected(w, r.now), Remaining: w.deadline.Sub(r.now), Took: r.now.Sub(w.arrived),
 	}
 }
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -188,6 +188,8 @@
 		Upstream string
 		// Instance identifies the upstream process that may run the attempt, or is empty.
 		Instance string
+		// Cold means that the upstream is cold and may get the request only once.
+		Cold bool
 	}
 
 	// RequestBody requests the body of an attempt that waits for a slot.
--- a/internal/decision/reducer/evacuation.go
+++ b/internal/decision/reducer/evacuation.go
@@ -10,6 +10,11 @@
 		return
 	}
 	g.evacuated = evacuated
+	g.warmupQuery = warmupQuery{}
+	if !evacuated && g.cold.Bounded() && g.upstream != "" {
+		// The upstream is cold after an evacuation, and only it knows for how long.
+		r.beginWarmupQuery(true)
+	}
 	kind := DecisionEvacuationEnded
 	if evacuated {
 		kind = DecisionEvacuationBegun
@@ -22,8 +27,11 @@
 	switch {
 	case r.upstreamLeaving():
 		return RefusalLeaving
-	case r.guard.evacuated:
+	case r.guard.evacuated || r.guard.warmupQuery.closes:
 		return RefusalEvacuated
+	case r.planInForce.offset == 0 && r.guard.cold.Cold(r.now):
+		// Only the plan tells how many requests the cold upstream bears.
+		return RefusalNoUpstream
 	default:
 		return ""
 	}
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -247,7 +247,8 @@
 		// Started is the start time of that process by its own clock, or the latest possible one;
 		// zero means unknown.
 		Started time.Time
-		// WarmupRemaining is how long the upstream says it stays cold; zero means that it is warm.
+		// WarmupRemaining is how long the upstream says it stays cold; zero means that it is warm,
+		// and WarmupUnknown that it does not say.
 		WarmupRemaining time.Duration
 	}
 
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/warmup"
 )
 
 // maxShortStartsInRow limits the short attempts started in a row while long work waits,
@@ -50,6 +51,13 @@
 	run UpstreamRun
 	// evacuated is set while the plan evacuates this node's availability zone.
 	evacuated bool
+	// cold bounds the requests to the upstream while it is cold.
+	cold        warmup.Limit
+	warmupQuery warmupQuery
+	// coldnessKnown is set once the upstream's statements in this process are sure to be up to date.
+	coldnessKnown bool
+	// coldNoted is the state of the bound that was last reported to operators.
+	coldNoted bool
 	// leaving holds the runs that announced their leaving, the current one or others.
 	leaving   leavingRuns
 	admission admission
@@ -183,6 +191,8 @@
 		return RefusalSettled
 	case w.keyed && len(r.attemptRecords.records) >= r.Settings.MaxKeys:
 		return RefusalMemoryFull
+	case w.objective.IsZero() && r.tooLateWhileCold(w):
+		return RefusalBusy
 	case w.objective.IsZero() && !r.canFinish(w):
 		return RefusalDeadline
 	case w.objective.IsZero() && g.queued() >= g.slots*r.Settings.QueuePerSlot && !r.displace(w):
@@ -196,6 +206,9 @@
 // so that trying another upstream pays off.
 func (r *Reducer) guardCrowded(w *work) bool {
 	g := &r.guard
+	if wait := g.cold.Wait(g.queued()+1, r.now); wait > 0 && wait*crowdedSlotDivisor >= g.expectedTime(w.length) {
+		return true
+	}
 	return g.running >= g.slots && g.queueOf(w.length).ahead(w)*crowdedSlotDivisor >= g.slots
 }
 
@@ -276,7 +289,7 @@
 		return
 	}
 	r.requestBodies()
-	for g.running < g.openSlots(r.now, r.Settings.Warmup) {
+	for g.running < g.openSlots(r.now, r.Settings.Warmup) && g.cold.Ready(r.now) {
 		// While attempts with an objective wait, none starts beyond the usable slots.
 		if g.running >= r.usableSlots() && g.admission.waiting() > 0 {
 			return
@@ -325,6 +338,7 @@
 	w.started = r.now
 	w.startPace = g.admission.currentPace(r.now)
 	g.running++
+	g.cold.Take(r.now)
 	if w.repeat {
 		g.runningRepeats++
 	}
@@ -334,7 +348,7 @@
 	r.attemptRecords.started(w)
 	r.counts.Started++
 	r.noteWorkDecision(DecisionWorkStarted, w, "")
-	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.run.instance})
+	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.run.instance, Cold: g.cold.Binds(r.now)})
 }
 
 // workEnded frees the slot of an attempt, records its outcome and starts queued work.
@@ -382,16 +396,3 @@
 	}
 	r.dropQueued(w, RefusalDeadline)
 }
-
-// expireQueue refuses queued attempts that can't complete by their deadline.
-func (r *Reducer) expireQueue() {
-	r.expireAdmitted()
-	g := &r.guard
-	for _, q := range []*workQueue{&g.short, &g.long} {
-		for _, w := range slices.Clone(q.works) {
-			if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
-				r.dropQueued(w, RefusalDeadline)
-			}
-		}
-	}
-}
--- a/internal/decision/reducer/load.go
+++ b/internal/decision/reducer/load.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"errors"
 	"strconv"
 	"strings"
@@ -96,7 +97,8 @@
 }
 
 // loadReport returns the guard's current load. Its service time is the mean of attempts with
-// an objective if there were any, otherwise that of short work.
+// an objective if there were any, otherwise that of short work. While the upstream is cold, its
+// slots are those that the rate can keep busy.
 func (r *Reducer) loadReport() LoadReport {
 	g := &r.guard
 	short := g.running - g.runningLong + len(g.short.works) + g.admission.waiting()
@@ -105,6 +107,7 @@
 	if g.admission.meanTime > 0 {
 		report.serviceTime = g.admission.meanTime
 	}
+	report.slots = g.cold.Slots(g.slots, cmp.Or(report.serviceTime, defaultServiceTime), r.now)
 	report.pace = g.admission.currentPace(r.now)
 	report.failures = int(100 * g.admission.failureShare(r.now))
 	return report
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -201,16 +201,21 @@
 // 1, that long work never uses.
 func (p *peer) loadAndSlots(l Length, now time.Time, reserve float64) (load, slots float64) {
 	short, long := p.shortAndLongLoad(now)
-	mostLong := float64(longSlots(max(1, p.member.Slots()), reserve))
+	mostLong := float64(longSlots(int(p.slots()), reserve))
 	if l == LengthLong {
 		return long, mostLong
 	}
 	return short, max(1, p.slots()-min(long, mostLong))
 }
 
-// slots returns how many calls the upstream runs at a time, at least one.
+// slots returns how many calls the upstream runs at a time, at least one. The load report of a cold
+// upstream has fewer slots than its announcement.
 func (p *peer) slots() float64 {
-	return float64(max(1, p.member.Slots()))
+	slots := p.member.Slots()
+	if p.report.slots > 0 {
+		slots = min(slots, p.report.slots)
+	}
+	return float64(max(1, slots))
 }
 
 // recordAnswer updates the failure rate and the service time with an answer. Took excludes the
--- a/internal/decision/reducer/probe.go
+++ b/internal/decision/reducer/probe.go
@@ -52,12 +52,13 @@
 	}
 	p.work.refill(r.now)
 	p.bytes.refill(r.now)
-	if p.work.tokens < r.Settings.ProbeWork.Seconds() || p.bytes.tokens < probeBytes {
+	if p.work.tokens < r.Settings.ProbeWork.Seconds() || p.bytes.tokens < probeBytes || !g.cold.Ready(r.now) {
 		r.counts.ProbesDenied++
 		return
 	}
 	p.work.spend(r.Settings.ProbeWork.Seconds())
 	p.bytes.spend(probeBytes)
+	g.cold.Take(r.now)
 	p.inFlight = true
 	r.counts.Probes++
 	r.emit(ProbeUpstream{Upstream: g.upstream, HealthPath: r.HealthPath(g.service)})
@@ -77,6 +78,9 @@
 		if g.upstreamDown {
 			g.upstreamDown = false
 			g.warmupStart = r.now
+			// Another run of the upstream may have answered.
+			g.coldnessKnown = false
+			r.checkWarmup()
 			r.announceSelf()
 		}
 	} else {
--- a/internal/decision/reducer/queue.go
+++ b/internal/decision/reducer/queue.go
@@ -85,3 +85,16 @@
 		return 0
 	}
 }
+
+// expireQueue refuses queued attempts that can't complete by their deadline.
+func (r *Reducer) expireQueue() {
+	r.expireAdmitted()
+	g := &r.guard
+	for _, q := range []*workQueue{&g.short, &g.long} {
+		for _, w := range slices.Clone(q.works) {
+			if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
+				r.dropQueued(w, RefusalDeadline)
+			}
+		}
+	}
+}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -124,7 +124,7 @@
 	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
-	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded:
+	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded, WarmupAnswered:
 		r.stepGuard(e)
 	default:
 		r.stepMember(e)
@@ -215,6 +215,8 @@
 		r.upstreamReplaced(e)
 	case ProbeEnded:
 		r.probeEnded(e)
+	case WarmupAnswered:
+		r.warmupAnswered(e)
 	}
 }
 
@@ -273,6 +275,8 @@
 	r.announce()
 	r.exchangeIfDue()
 	r.maintainHomeTables()
+	r.queryWarmup()
+	r.noteColdness()
 	r.startWork()
 	r.report()
 	if r.stopping {
@@ -322,6 +326,7 @@
 	r.reportSoon()
 	r.members.evacuatedZones = plan.spec.EvacuatedZones
 	r.members.rebuildServices(r.planInForceIndex)
+	r.applyWarmupRate()
 	r.updateEvacuation()
 	r.refuseQueueWhenClosed()
 }
--- a/internal/decision/reducer/upstream.go
+++ b/internal/decision/reducer/upstream.go
@@ -17,6 +17,7 @@
 		g.admission.pace = 0
 		g.admission.failures = 0
 	}
+	first, newRun := g.upstream == "", !g.run.sameRun(run)
 	draining := e.Draining || g.leaving.include(run)
 	changed := fresh || g.slots != e.Slots || g.draining != draining
 	g.service = e.Service
@@ -26,6 +27,7 @@
 	g.draining = draining
 	g.upstreamDown = false
 	g.answeredAt = r.now
+	r.recordWarmup(e.WarmupRemaining, first, newRun)
 	if changed {
 		r.announceSelf()
 	}
@@ -37,6 +39,8 @@
 // announced itself in the meantime.
 func (r *Reducer) upstreamFound(e UpstreamFound) {
 	if r.guard.upstream == "" {
+		// This is the health endpoint's own answer.
+		r.guard.coldnessKnown = e.Announced.WarmupRemaining >= 0
 		r.upstreamAnnounced(e.Announced)
 	}
 }
--- a/internal/decision/reducer/upstreamrun.go
+++ b/internal/decision/reducer/upstreamrun.go
@@ -34,6 +34,11 @@
 	return u.instance != "" && u.instance == other.instance && !other.started.After(u.started)
 }
 
+// sameRun reports whether other is the same run as u, as far as both are known.
+func (u UpstreamRun) sameRun(other UpstreamRun) bool {
+	return u.instance == other.instance && (u.started.IsZero() || other.started.IsZero() || u.started.Equal(other.started))
+}
+
 // leavingRuns holds the last runs that announced their leaving, oldest first. A run that leaves never
 // takes new work again, whatever it announces later.
 type leavingRuns []UpstreamRun
--- a/internal/edge/upstream/announce.go
+++ b/internal/edge/upstream/announce.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -26,6 +27,11 @@
 	maxConnections = 65536
 	// probeTimeout limits a request to the health endpoint, including its answer's body.
 	probeTimeout = time.Second
+	// warmupQueryTimeout limits one query for the time that the upstream stays cold, so that it can
+	// be repeated within the 2 s that the guard waits for it.
+	warmupQueryTimeout = 500 * time.Millisecond
+	// defaultHealthPath is the path of the health endpoint if the plan does not set one.
+	defaultHealthPath = "/-/health"
 )
 
 // Announcement is the JSON body with which an upstream registers at its node.
@@ -113,10 +119,7 @@
 // Probe executes ProbeUpstream by a request to the upstream's health endpoint. Any status
 // below 500 counts as healthy: the answer only shows that the upstream is alive.
 func (g *Guard) Probe(probe reducer.ProbeUpstream) {
-	path := probe.HealthPath
-	if path == "" {
-		path = "/-/health"
-	}
+	path := cmp.Or(probe.HealthPath, defaultHealthPath)
 	status := 0
 	n, err := g.queryHealth(context.Background(), probe.Upstream, path, func(resp *http.Response) { status = resp.StatusCode })
 	if status == 0 {
@@ -132,13 +135,33 @@
 // process and returns its identity. It fails if the protocol can't identify the upstream
 // by the answer.
 func (g *Guard) Discover(ctx context.Context, service, address, healthPath string) (reducer.UpstreamAnnounced, error) {
+	identity, err := g.identify(ctx, address, healthPath)
+	if err != nil {
+		return reducer.UpstreamAnnounced{}, oops.Wrapf(err, "query the health endpoint of upstream %s", address)
+	}
+	return reducer.UpstreamAnnounced{
+		Service: service, Address: address, Slots: identity.Slots, Instance: identity.Instance,
+		WarmupRemaining: identity.WarmupRemaining,
+	}, nil
+}
+
+// QueryWarmup executes reducer.QueryWarmup by a request to the health endpoint.
+func (g *Guard) QueryWarmup(ctx context.Context, query reducer.QueryWarmup) {
+	ctx, cancel := context.WithTimeout(ctx, warmupQueryTimeout)
+	defer cancel()
+	remaining := reducer.WarmupUnknown
+	if identity, err := g.identify(ctx, query.Upstream, cmp.Or(query.HealthPath, defaultHealthPath)); err == nil {
+		remaining = identity.WarmupRemaining
+	}
+	g.Loop.Do(reducer.WarmupAnswered{Query: query.Query, Remaining: remaining})
+}
+
+// identify returns the identity in the answer of an upstream's health endpoint.
+func (g *Guard) identify(ctx context.Context, address, healthPath string) (Identity, error) {
 	var identity Identity
 	var identifyErr error
 	_, err := g.queryHealth(ctx, address, healthPath, func(resp *http.Response) { identity, identifyErr = g.Protocol.Identify(resp) })
-	if err = errors.Join(err, identifyErr); err != nil {
-		return reducer.UpstreamAnnounced{}, oops.Wrapf(err, "query the health endpoint of upstream %s", address)
-	}
-	return reducer.UpstreamAnnounced{Service: service, Address: address, Slots: identity.Slots, Instance: identity.Instance}, nil
+	return identity, errors.Join(err, identifyErr)
 }
 
 // queryHealth sends a request to an upstream's health endpoint. It calls onAnswer with the
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -216,7 +216,7 @@
 	req *http.Request, mailbox *loop.WorkMailbox, arrived reducer.WorkArrived, start reducer.StartWork,
 	waited time.Duration,
 ) (*http.Response, error) {
-	r := &runningAttempt{guard: g, mailbox: mailbox, arrived: arrived, address: start.Upstream}
+	r := &runningAttempt{guard: g, mailbox: mailbox, arrived: arrived, address: start.Upstream, cold: start.Cold}
 	ctx, cancel := g.Loop.WithDeadline(req.Context(), arrived.Deadline)
 	r.cancel = cancel
 	out := g.newUpstreamRequest(req, arrived, start).WithContext(ctx)
--- a/internal/edge/upstream/protocol.go
+++ b/internal/edge/upstream/protocol.go
@@ -55,6 +55,8 @@
 	Instance string
 	// Slots is the number of requests that the upstream runs at a time.
 	Slots int
+	// WarmupRemaining is how long the upstream stays cold, or reducer.WarmupUnknown.
+	WarmupRemaining time.Duration
 }
 
 // Protocol defines how a guard communicates with its upstream.
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -25,7 +25,9 @@
 	arrived reducer.WorkArrived
 	// address is the upstream's host:port.
 	address string
-	cancel  context.CancelFunc
+	// cold means that the upstream may get the request only once.
+	cold   bool
+	cancel context.CancelFunc
 	// connected reports that the request may have reached the upstream.
 	connected bool
 	// pacePercent is AnswerClass.PacePercent.
@@ -45,20 +47,20 @@
 }
 
 // send sends the request. If a reused connection fails before any answer, a request without
-// a key and without a body is sent once more, on a new connection.
+// a key and without a body is sent once more, on a new connection, unless the upstream is cold.
 func (r *runningAttempt) send(out *http.Request) (*http.Response, error) {
 	x := &exchange{
 		pool: r.guard.pool.Load(), address: r.address, requestID: r.arrived.RequestID, maxIdle: maxIdleTime,
 		skipMismatched: r.guard.Protocol.BuffersAnswers(),
 	}
 	x.match = func(resp *http.Response) AnswerOwner { return r.guard.Protocol.MatchAnswer(resp, out) }
-	if r.arrived.Keyed {
+	if r.arrived.Keyed || r.cold {
 		x.maxIdle = maxIdleTimeKeyed
 	}
 	resp, err := x.run(out)
 	r.connected = x.connected
 	r.skipped = x.skipped
-	if err == nil || r.arrived.Keyed || x.connection == nil || !x.connection.reused || x.answered {
+	if err == nil || r.arrived.Keyed || r.cold || x.connection == nil || !x.connection.reused || x.answered {
 		return resp, err
 	}
 	if out.Context().Err() != nil || out.Body != http.NoBody {
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -60,6 +60,9 @@
 	if decided.RegionsLimited {
 		line.Str("regions", "limited")
 	}
+	if decided.Cold {
+		line.Str("upstream", "cold")
+	}
 	line = line.Int64("plan", decided.Plan).Float64("load", decided.Load)
 	writeTime(line, "report_age", decided.ReportAge)
 	writeTime(line, "expected", decided.Expected)
@@ -116,6 +119,9 @@
 	if decided.RegionsLimited {
 		metrics.GetOrRegisterCounter("regions.limited."+string(decided.Kind), d.registry).Inc(1)
 	}
+	if decided.Cold {
+		metrics.GetOrRegisterCounter("cold."+name, d.registry).Inc(1)
+	}
 	switch decided.Kind {
 	case reducer.DecisionCallAnswered, reducer.DecisionCallRejected:
 		d.histogram("call.microseconds." + string(decided.Kind)).Update(decided.Took.Microseconds())
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -180,6 +180,8 @@
 		go n.warn("answers-not-moved", func() error { return n.client.OfferAnswers(e) })
 	case reducer.ProbeUpstream:
 		go n.guard.Probe(e)
+	case reducer.QueryWarmup:
+		go n.guard.QueryWarmup(ctx, e)
 	case reducer.StoreLeavingRuns:
 		if n.Adapter != nil {
 			go n.storeLeavingRuns(ctx, e.Runs)
