--- a/internal/decision/reducer/access_test.go
+++ b/internal/decision/reducer/access_test.go
@@ -78,3 +78,19 @@
 	n.step(PlanPublished{Plan: tenantPlan(3, "k2")})
 	c.Assert(mustReject(c, n.callWithKey("/a/x", "k1", false)).Problem, qt.Equals, ProblemUnauthorized)
 }
+
+// A tenant's regions must bind beside the route's.
+func TestRegionsOfTheTenantBind(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(true)
+	plan := tenantPlan(2, "k1").Spec()
+	plan.Tenants[0].Regions = []string{"r2"}
+	n.step(PlanPublished{Plan: NewPlan(2, plan)})
+	n.peer(2, "r1", load(0, time.Millisecond))
+	c.Assert(mustReject(c, n.callWithKey("/a/x", "k1", false)).Outcome, qt.Equals, OutcomeNotRun)
+	far := n.peer(3, "r2", load(0, time.Millisecond))
+	sent, _ := n.callWithKey("/a/x", "k1", false)[0].(SendAttempt)
+	c.Assert(sent.Target, qt.Equals, far)
+	sent, _ = n.callWithKey("/a/x", "digest-of-t2", false)[0].(SendAttempt)
+	c.Assert(sent.Target, qt.Not(qt.Equals), far)
+}
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/tenant"
 )
 
 // call is the entry's state of one caller's request.
@@ -16,6 +18,8 @@
 	tenant *Tenant
 	// hideCredentials is set if the request's access key must not leave this entry.
 	hideCredentials bool
+	// regions holds the regions that may serve the call.
+	regions tenant.Regions
 	// objective is the time after which an answer loses most of its value, or zero.
 	objective time.Time
 	requestID string
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -34,6 +34,17 @@
 	DecisionUpstreamChanged  DecisionKind = "upstream-changed"
 	DecisionMemberChanged    DecisionKind = "member-changed"
 	DecisionRequestSuspected DecisionKind = "request-suspected"
+	// DecisionEvacuationBegun and DecisionEvacuationEnded report that the plan began or ended the
+	// evacuation of this node's availability zone.
+	DecisionEvacuationBegun DecisionKind = "evacuation-begun"
+	DecisionEvacuationEnded DecisionKind = "evacuation-ended"
+	// DecisionUpstreamCold and DecisionUpstreamWarm report that the bound on the requests of a cold
+	// upstream began or ceased to apply. Expected is the time until its end.
+	DecisionUpstreamCold DecisionKind = "upstream-cold"
+	DecisionUpstreamWarm DecisionKind = "upstream-warm"
+	// DecisionWarmupQueried reports the end of the query how long the upstream stays cold: Reason is
+	// "answered" or "no-answer".
+	DecisionWarmupQueried DecisionKind = "warmup-queried"
 )
 
 // Decision reports a decision and its inputs to operators. Fields that don't apply to the
@@ -77,6 +88,10 @@
 	Basis OutcomeBasis
 	// Tenant is the name of the caller's tenant, or empty.
 	Tenant string
+	// RegionsLimited is set if the call may be served in some regions only.
+	RegionsLimited bool
+	// Cold is set if the upstream is cold and its requests are bounded.
+	Cold bool
 	// Skipped is the number of answers to other requests that came before the attempt's.
 	Skipped int
 }
@@ -86,7 +101,8 @@
 // TouchesRequest reports whether the decision is about one request.
 func (d Decision) TouchesRequest() bool {
 	switch d.Kind {
-	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected:
+	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected,
+		DecisionEvacuationBegun, DecisionEvacuationEnded, DecisionUpstreamCold, DecisionUpstreamWarm, DecisionWarmupQueried:
 		return false
 	default:
 		return true
@@ -106,6 +122,7 @@
 	d.Took = r.now.Sub(c.arrived)
 	d.Tries = len(c.tried)
 	d.Tenant = c.tenantName()
+	d.RegionsLimited = c.regions.Limited()
 	if c.kind != nil {
 		d.Route = c.kind.kind.Name
 	}
@@ -145,6 +162,7 @@
 	return Decision{
 		Kind: kind, Request: w.requestID, Attempt: w.attempt, Service: r.guard.service, Route: w.route,
 		Reason: reason, Plan: r.planInForce.offset, Load: float64(r.guard.running + r.guard.queued()),
+		Cold:     r.guard.cold.Binds(r.now),
 		Expected: r.guard.admission.expected(w, r.now), Remaining: w.deadline.Sub(r.now), Took: r.now.Sub(w.arrived),
 	}
 }
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -67,6 +67,9 @@
 	RefusalDeadline RefusalReason = "deadline"
 	// RefusalDisplaced removes a queued attempt in favor of one with a larger weight.
 	RefusalDisplaced RefusalReason = "displaced"
+	// RefusalEvacuated means that the guard admits no work to its upstream because the upstream's
+	// availability zone is evacuated, or was until a moment ago.
+	RefusalEvacuated RefusalReason = "evacuated"
 	// RefusalFull means that the queue is full.
 	RefusalFull RefusalReason = "full"
 	// RefusalLeaving means that the guard admits no more work to its upstream.
@@ -194,6 +197,8 @@
 		Upstream string
 		// Instance identifies the upstream process that may run the attempt, or is empty.
 		Instance string
+		// Cold means that the upstream is cold and may get the request only once.
+		Cold bool
 	}
 
 	// RequestBody requests the body of an attempt that waits for a slot.
--- a/internal/decision/reducer/guard.go
+++ b/internal/decision/reducer/guard.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
+
+	"github.com/tanagerline/tanagerline/internal/decision/warmup"
 )
 
 // maxShortStartsInRow limits the short attempts started in a row while long work waits,
@@ -48,6 +49,15 @@
 	answeredAt time.Time
 	// run identifies the upstream's process, as far as it is known.
 	run UpstreamRun
+	// evacuated is set while the plan evacuates this node's availability zone.
+	evacuated bool
+	// cold bounds the requests to the upstream while it is cold.
+	cold        warmup.Limit
+	warmupQuery warmupQuery
+	// coldnessKnown is set once the upstream's statements in this process are sure to be up to date.
+	coldnessKnown bool
+	// coldNoted is the state of the bound that was last reported to operators.
+	coldNoted bool
 	// leaving holds the runs that announced their leaving, the current one or others.
 	leaving   leavingRuns
 	admission admission
@@ -108,24 +118,6 @@
 	*estimate += time.Duration(serviceTimeWeight * float64(took-*estimate))
 }
 
-// loadReport returns the guard's current load. Its service time is the mean of attempts with
-// an objective if there were any, otherwise that of short work.
-func (r *Reducer) loadReport() LoadReport {
-	g := &r.guard
-	short := g.running - g.runningLong + len(g.short.works) + g.admission.waiting()
-	long := g.runningLong + len(g.long.works)
-	report := NewLoadReport(short, long, g.slots, g.shortTime, r.planInForce.offset)
-	if g.admission.meanTime > 0 {
-		report.serviceTime = g.admission.meanTime
-	}
-	report.pace = g.admission.currentPace(r.now)
-	report.failures = int(100 * g.admission.failureShare(r.now))
-	return report
-}
-
-// LoadReport returns the guard's current load, which is sent with every answer.
-func (r *Reducer) LoadReport() LoadReport { return r.loadReport() }
-
 // workArrived admits, queues, replays or refuses an attempt.
 func (r *Reducer) workArrived(e WorkArrived) {
 	r.lastArrival = r.now
@@ -191,14 +183,16 @@
 	switch {
 	case g.service != service || g.upstream == "" || g.upstreamDown:
 		return RefusalNoUpstream
-	case r.upstreamLeaving():
-		return RefusalLeaving
+	case r.closedReason() != "":
+		return r.closedReason()
 	case r.suspects.quarantined(w.fingerprint):
 		return RefusalQuarantined
 	case w.keyed && r.attemptRecords.records[w.attempt] != nil:
 		return RefusalSettled
 	case w.keyed && len(r.attemptRecords.records) >= r.Settings.MaxKeys:
 		return RefusalMemoryFull
+	case w.objective.IsZero() && r.tooLateWhileCold(w):
+		return RefusalBusy
 	case w.objective.IsZero() && !r.canFinish(w):
 		return RefusalDeadline
 	case w.objective.IsZero() && g.queued() >= g.slots*r.Settings.QueuePerSlot && !r.displace(w):
@@ -212,6 +206,9 @@
 // so that trying another upstream pays off.
 func (r *Reducer) guardCrowded(w *work) bool {
 	g := &r.guard
+	if wait := g.cold.Wait(g.queued()+1, r.now); wait > 0 && wait*crowdedSlotDivisor >= g.expectedTime(w.length) {
+		return true
+	}
 	return g.running >= g.slots && g.queueOf(w.length).ahead(w)*crowdedSlotDivisor >= g.slots
 }
 
@@ -288,11 +285,11 @@
 // startWork starts queued attempts while slots are free.
 func (r *Reducer) startWork() {
 	g := &r.guard
-	if g.upstreamDown || r.upstreamLeaving() {
+	if g.upstreamDown || r.closedReason() != "" {
 		return
 	}
 	r.requestBodies()
-	for g.running < g.openSlots(r.now, r.Settings.Warmup) {
+	for g.running < g.openSlots(r.now, r.Settings.Warmup) && g.cold.Ready(r.now) {
 		// While attempts with an objective wait, none starts beyond the usable slots.
 		if g.running >= r.usableSlots() && g.admission.waiting() > 0 {
 			return
@@ -341,6 +338,7 @@
 	w.started = r.now
 	w.startPace = g.admission.currentPace(r.now)
 	g.running++
+	g.cold.Take(r.now)
 	if w.repeat {
 		g.runningRepeats++
 	}
@@ -350,7 +348,7 @@
 	r.attemptRecords.started(w)
 	r.counts.Started++
 	r.noteWorkDecision(DecisionWorkStarted, w, "")
-	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.run.instance})
+	r.emit(StartWork{Work: w.id, Upstream: g.upstream, Instance: g.run.instance, Cold: g.cold.Binds(r.now)})
 }
 
 // workEnded frees the slot of an attempt, records its outcome and starts queued work.
@@ -398,31 +396,3 @@
 	}
 	r.dropQueued(w, RefusalDeadline)
 }
-
-// expireQueue refuses queued attempts that can't complete by their deadline.
-func (r *Reducer) expireQueue() {
-	r.expireAdmitted()
-	g := &r.guard
-	for _, q := range []*workQueue{&g.short, &g.long} {
-		for _, w := range slices.Clone(q.works) {
-			if !r.now.Add(g.expectedTime(w.length)).Before(w.deadline) {
-				r.dropQueued(w, RefusalDeadline)
-			}
-		}
-	}
-}
-
-// refuseQueueWhenLeaving refuses all queued attempts if the upstream is leaving, so that
-// their entries can retry them elsewhere.
-func (r *Reducer) refuseQueueWhenLeaving() {
-	if !r.upstreamLeaving() {
-		return
-	}
-	g := &r.guard
-	for _, q := range []*workQueue{&g.short, &g.long} {
-		for _, w := range slices.Clone(q.works) {
-			r.dropQueued(w, RefusalLeaving)
-		}
-	}
-	r.refuseAdmitted(RefusalLeaving)
-}
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -61,6 +61,8 @@
 	plansReachable bool
 	// excluded reports whether the plan excludes the upstream from new work.
 	excluded bool
+	// evacuated reports whether the plan evacuates the upstream's availability zone.
+	evacuated bool
 	// weight is the plan's weight for the peer's region; zero sends no work there.
 	weight int
 
@@ -199,16 +201,21 @@
 // 1, that long work never uses.
 func (p *peer) loadAndSlots(l Length, now time.Time, reserve float64) (load, slots float64) {
 	short, long := p.shortAndLongLoad(now)
-	mostLong := float64(longSlots(max(1, p.member.Slots()), reserve))
+	mostLong := float64(longSlots(int(p.slots()), reserve))
 	if l == LengthLong {
 		return long, mostLong
 	}
 	return short, max(1, p.slots()-min(long, mostLong))
 }
 
-// slots returns how many calls the upstream runs at a time, at least one.
+// slots returns how many calls the upstream runs at a time, at least one. The load report of a cold
+// upstream has fewer slots than its announcement.
 func (p *peer) slots() float64 {
-	return float64(max(1, p.member.Slots()))
+	slots := p.member.Slots()
+	if p.report.slots > 0 {
+		slots = min(slots, p.report.slots)
+	}
+	return float64(max(1, slots))
 }
 
 // recordAnswer updates the failure rate and the service time with an answer. Took excludes the
@@ -254,9 +261,12 @@
 	return max(expected, minServiceTime)
 }
 
+// closed reports whether the upstream gets no new work, whatever its load.
+func (p *peer) closed() bool { return p.member.Leaving() || p.excluded || p.evacuated }
+
 // usable reports whether new attempts may be sent to the peer.
 func (p *peer) usable(now time.Time) bool {
-	if p.member.Leaving() || p.excluded || p.weight == 0 {
+	if p.closed() || p.weight == 0 {
 		return false
 	}
 	if now.Before(p.avoidUntil) || now.Before(p.ejectedUntil) {
--- a/internal/decision/reducer/probe.go
+++ b/internal/decision/reducer/probe.go
@@ -44,7 +44,7 @@
 func (r *Reducer) probe() {
 	g := &r.guard
 	p := &r.probes
-	if g.upstream == "" || p.inFlight || r.now.Before(p.due) || r.stopping {
+	if g.upstream == "" || p.inFlight || r.now.Before(p.due) || r.stopping || g.evacuated {
 		return
 	}
 	if r.now.Before(g.answeredAt.Add(r.Settings.FreshAnswer)) {
@@ -52,12 +52,13 @@
 	}
 	p.work.refill(r.now)
 	p.bytes.refill(r.now)
-	if p.work.tokens < r.Settings.ProbeWork.Seconds() || p.bytes.tokens < probeBytes {
+	if p.work.tokens < r.Settings.ProbeWork.Seconds() || p.bytes.tokens < probeBytes || !g.cold.Ready(r.now) {
 		r.counts.ProbesDenied++
 		return
 	}
 	p.work.spend(r.Settings.ProbeWork.Seconds())
 	p.bytes.spend(probeBytes)
+	g.cold.Take(r.now)
 	p.inFlight = true
 	r.counts.Probes++
 	r.emit(ProbeUpstream{Upstream: g.upstream, HealthPath: r.HealthPath(g.service)})
@@ -77,6 +78,9 @@
 		if g.upstreamDown {
 			g.upstreamDown = false
 			g.warmupStart = r.now
+			// Another run of the upstream may have answered.
+			g.coldnessKnown = false
+			r.checkWarmup()
 			r.announceSelf()
 		}
 	} else {
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -26,6 +26,7 @@
 		r.reject(c, OutcomeNotRun, problem)
 		return
 	}
+	r.resolveRegions(c)
 	c.keyed = !c.route.route.Idempotent
 	r.earnRoutedRetry(c.service)
 	if r.suspects.quarantined(c.fingerprint) {
@@ -55,7 +56,7 @@
 	case RefusalShed:
 		c.sends++
 		again = again && r.takeRoutedRetry(c)
-	case RefusalLeaving, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
+	case RefusalLeaving, RefusalEvacuated, RefusalNoUpstream, RefusalRestarted, RefusalUnreachable:
 		again = again && len(c.tried) < maxUnavailableTries
 	case RefusalQuarantined:
 		again = false
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -58,6 +58,12 @@
 	if decided.BodySpent {
 		line.Str("body", "spent")
 	}
+	if decided.RegionsLimited {
+		line.Str("regions", "limited")
+	}
+	if decided.Cold {
+		line.Str("upstream", "cold")
+	}
 	line = line.Int64("plan", decided.Plan).Float64("load", decided.Load)
 	writeTime(line, "report_age", decided.ReportAge)
 	writeTime(line, "expected", decided.Expected)
@@ -111,6 +117,12 @@
 		name += "." + decided.Reason
 	}
 	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
+	if decided.RegionsLimited {
+		metrics.GetOrRegisterCounter("regions.limited."+string(decided.Kind), d.registry).Inc(1)
+	}
+	if decided.Cold {
+		metrics.GetOrRegisterCounter("cold."+name, d.registry).Inc(1)
+	}
 	switch decided.Kind {
 	case reducer.DecisionCallAnswered, reducer.DecisionCallRejected:
 		d.histogram("call.microseconds." + string(decided.Kind)).Update(decided.Took.Microseconds())
