Start long work after a disturbance of its upstream, not in it

Cause: an upstream's pace at the start of an attempt holds for the whole attempt. Work of 300 ms that started during a disturbance of 300 ms by other VMs took 1.2 s, was late and held its slot meanwhile. Attempts in the queue were demoted for good by a single report.

Change: an attempt that may wait at its guard starts after the disturbance if it is done sooner that way, for at most 350 ms; deadlines and the order of the queue reckon with it.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -18,6 +18,11 @@
 	// defaultPacePercent is the pace assumed without a recent report, in percent: the average that a
 	// disturbed upstream reaches over a whole attempt.
 	defaultPacePercent = 150
+	// disturbanceTime is how long a disturbance by other VMs lasts on average once it is reported.
+	disturbanceTime = 200 * time.Millisecond
+	// longestDisturbance is how long an upstream may be slow before it is taken for a lasting state,
+	// such as after its start.
+	longestDisturbance = 350 * time.Millisecond
 )
 
 // admission queues the attempts that have an objective and wait for a slot. To keep as
@@ -36,6 +41,8 @@
 	// pace is the last reported pace in percent of the usual; zero means unknown.
 	pace   int
 	paceAt time.Time
+	// slowSince is when the reported pace began to be worse than average, or zero.
+	slowSince time.Time
 	// failures is the recent share of failed attempts as of failedAt, from 0 to 1.
 	failures float64
 	failedAt time.Time
@@ -49,6 +56,22 @@
 	return a.usualTime(w) * time.Duration(a.currentPace(now)) / usualPacePercent
 }
 
+// soonest estimates the time until an attempt is done that starts now or after a disturbance of the
+// upstream, whichever is sooner.
+func (a *admission) soonest(w *work, now time.Time) time.Duration {
+	expected := a.expected(w, now)
+	if a.slowSince.IsZero() || now.Sub(a.slowSince) > longestDisturbance {
+		return expected
+	}
+	return min(expected, disturbanceTime+a.usualTime(w)*defaultPacePercent/usualPacePercent)
+}
+
+// disturbed reports whether an attempt is done sooner if it starts after the upstream's disturbance.
+// Its pace at the start holds for the whole attempt.
+func (a *admission) disturbed(w *work, now time.Time) bool {
+	return a.soonest(w, now) < a.expected(w, now)
+}
+
 // usualTime estimates the service time of an attempt at the usual pace.
 func (a *admission) usualTime(w *work) time.Duration {
 	usualTime := a.routeTimes[w.route]
@@ -79,9 +102,21 @@
 	return defaultPacePercent
 }
 
+// recordPace stores a reported pace, in percent of the usual.
+func (a *admission) recordPace(percent int, now time.Time) {
+	switch {
+	case percent <= defaultPacePercent:
+		a.slowSince = time.Time{}
+	case a.slowSince.IsZero():
+		a.slowSince = now
+	}
+	a.pace = percent
+	a.paceAt = now
+}
+
 // latestStart returns when an attempt must start to meet its objective.
 func (a *admission) latestStart(w *work, now time.Time) time.Time {
-	return w.objective.Add(-a.expected(w, now) - returnAllowance)
+	return w.objective.Add(-a.soonest(w, now) - returnAllowance)
 }
 
 // push queues an attempt that can meet its objective.
@@ -156,6 +191,9 @@
 	a := &g.admission
 	wait := max(r.queueWait(w), r.bodyWait(w), g.cold.Wait(len(a.inTime)+1, r.now))
 	finish := r.now.Add(wait + a.expected(w, r.now))
+	if !impatient {
+		finish = r.now.Add(wait + a.soonest(w, r.now))
+	}
 	if !finish.Add(returnAllowance + wait*waitMarginPercent/100).After(w.objective) {
 		a.push(w, r.now)
 		return ""
@@ -250,9 +288,10 @@
 	if at >= 0 && (next == nil || a.expected(next, r.now)*timelyToLateValue >= a.expected(a.inTime[at], r.now)) {
 		next = a.inTime[at]
 	}
-	if next != nil {
-		a.remove(next)
+	if next == nil || a.disturbed(next, r.now) {
+		return nil
 	}
+	a.remove(next)
 	return next
 }
 
@@ -276,7 +315,7 @@
 // refuseMissedDeadlines refuses the attempts in waiting that can no longer meet their deadline.
 func (r *Reducer) refuseMissedDeadlines(waiting []*work) {
 	for _, w := range waiting {
-		if !r.now.Add(r.guard.admission.expected(w, r.now)).Before(w.deadline) {
+		if !r.now.Add(r.guard.admission.soonest(w, r.now)).Before(w.deadline) {
 			r.dropQueued(w, RefusalDeadline)
 		}
 	}
@@ -316,8 +355,7 @@
 func (r *Reducer) recordUpstreamResult(w *work, e WorkEnded) {
 	a := &r.guard.admission
 	if e.PacePercent > 0 {
-		a.pace = e.PacePercent
-		a.paceAt = r.now
+		a.recordPace(e.PacePercent, r.now)
 	}
 	if w.objective.IsZero() {
 		return
