Read the rest of a body in the handler, not behind it

Callers saw requests in flight cut off and 502s: nodes ended with "panic: invalid concurrent Body.Read call" while links lost packets.

Cause: the handlers of the peers' and the callers' listener answer in full duplex. If a handler ends before the request's body was read, as with a refusal while a lost packet of the body is on its way, net/http's server closes the body behind the handler. That reads on to the body's end, and there starts the connection's background read after the point at which the server stops it. The wait for the next request then panics, which the server recovers. If the next request already stands in the buffer, its handler runs beside that read, and the read of its body panics in connReader.Read or startBackgroundRead. That read is done by upstream.(*exchange).send, by readBody or by http.Transport's write loop, where nothing recovers.

A caller could end an entry in the same way, with an upload that gets an early answer and the next upload right behind it.

Change: the handler calls RequestBody.Finish behind its answer. Finish refuses further reads, and if the answer's length is known it reads up to 256 KiB of the rest for at most 2 s. The body's end is then reached inside the handler, and the server stops its background read before the next request. Otherwise the server closes the connection: Finish exceeds a http.MaxBytesReader, which is the one way to ask for that behind the head. The handler no longer aborts there, so the answer's last chunk is sent and the requester has half a second to read it; callers whose uploads were rejected early got "unexpected EOF" instead of the rejection. Abort covers handlers that panic.

--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -100,21 +100,22 @@
 	}
 	arrived.Forwarded = forwarded
 	req, requestBody := peer.NewRequestBody(w, req)
-	defer requestBody.EndOrAbort()
+	defer requestBody.Abort()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.BodyReadTimeout))
 	body, err := newRequestBody(req, bodyLimits{
 		maxBuffered: e.MaxBufferedBytes, bufferUnknownLength: e.Protocol.BuffersAnswers(), maxLength: e.maxBodyBytes(),
 	})
 	if err != nil {
-		// The rest of the body is not read: the read deadline stays set, and the
-		// connection is closed.
+		// The rest of the body is not needed: Finish limits the time in which the server reads
+		// it, and the connection is closed.
 		w.Header().Set("Connection", "close")
 		problem := ProblemBadRequest
 		if errors.Is(err, errBodyTooLong) {
 			problem = ProblemBodyTooLong
 		}
 		e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: problem}, "body: "+err.Error())
+		requestBody.Finish()
 		return
 	}
 	_ = controller.SetReadDeadline(time.Time{})
@@ -130,6 +131,7 @@
 	_ = controller.EnableFullDuplex()
 	x := &exchange{entry: e, writer: w, req: req, body: body, fingerprint: arrived.Fingerprint}
 	x.run(arrived)
+	requestBody.Finish()
 }
 
 // maxBodyBytes returns the plan's limit on request bodies, in bytes; zero means no limit.
--- a/internal/edge/upstream/guard_test.go
+++ b/internal/edge/upstream/guard_test.go
@@ -103,6 +103,44 @@
 	}
 }
 
+// attemptHead returns the head of an attempt with a body of the given length that is sent at once; to is the
+// incarnation that it is meant for.
+func attemptHead(attempt, to string, length int) string {
+	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n"+
+		"%s: %s\r\n%s: %s\r\n%s: 2s\r\n%s: 1s\r\n%s: 1\r\n%s: desk\r\n\r\n", length, peer.HeaderAttempt, attempt,
+		peer.HeaderTo, to, peer.HeaderTimeout, peer.HeaderObjective, peer.HeaderFingerprint, peer.HeaderService)
+}
+
+// A guard refuses an attempt whose body is still partly on its way, as on a link that lost a packet, and
+// the next attempt stands right behind that body. Its body is read beside the handler, and that read
+// met the server's own and ended the process.
+func TestAttemptBehindARefusedBodyRuns(t *testing.T) {
+	c := qt.New(t)
+	address, reached := newListeningGuard(t)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(conn)
+	for i := range 10 {
+		_, err = conn.Write([]byte(attemptHead(fmt.Sprint("refused", i), "8", 3000) + strings.Repeat("x", 2000)))
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Header.Get(peer.HeaderOutcome), qt.Equals, string(reducer.OutcomeNotRun))
+		_, err = conn.Write([]byte(strings.Repeat("x", 1000) + attemptHead(fmt.Sprint("next", i), "7", 4)))
+		c.Assert(err, qt.IsNil)
+		// The body arrives later than the head.
+		time.Sleep(10 * time.Millisecond)
+		_, err = conn.Write([]byte("next"))
+		c.Assert(err, qt.IsNil)
+		resp, err = http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Header.Get(peer.HeaderOutcome), qt.Equals, string(reducer.OutcomeRan))
+		c.Assert(reached.Load(), qt.Equals, int64(i+1))
+	}
+}
+
 func TestFindIdentifiesTheUpstreamByItsHealthEndpoint(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/mesh/peer/listener.go
+++ b/internal/mesh/peer/listener.go
@@ -54,18 +54,25 @@
 func (l *Listener) runAttempt(w http.ResponseWriter, req *http.Request) {
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	req, body := NewRequestBody(w, req)
-	defer body.EndOrAbort()
+	defer body.Abort()
 	resp, err := l.Guard.RoundTrip(req)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if reducer.Outcome(resp.Header.Get(HeaderOutcome)) == reducer.OutcomeNotRun && body.End() {
-		// The guard gave up an attempt while its body was on the way.
-		w.Header().Set("Connection", "close")
+	if reducer.Outcome(resp.Header.Get(HeaderOutcome)) == reducer.OutcomeNotRun {
+		if body.End() {
+			// The guard gave up an attempt while its body was on the way.
+			w.Header().Set("Connection", "close")
+		}
+		if resp.ContentLength >= 0 {
+			// The requester knows the refusal's end then, before the rest of its body is read.
+			w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+		}
 	}
 	WriteHead(w, resp)
 	if _, err := RelayBody(w, resp); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	body.Finish()
 }
