--- /dev/null
+++ b/internal/decision/quota/bucket_test.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var (
+	start  = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	bounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+)
+
+// Entries that save all tokens until just before they expire, and then spend them in one window, must
+// not exceed the bound.
+func TestSavedTokensStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: rapid.Float64Range(0.2, 400).Draw(t, "rate"), Burst: rapid.Float64Range(0, 300).Draw(t, "burst")}
+		bucket := NewBucket(start)
+		var spent []time.Time
+		now := start
+		for now.Before(start.Add(20 * time.Second)) {
+			idle := rapid.IntRange(0, 40).Draw(t, "idle")
+			now = now.Add(time.Duration(idle) * 50 * time.Millisecond)
+			saveUntil := now.Add(AheadLifetime)
+			for range rapid.IntRange(1, 60).Draw(t, "asks") {
+				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+				demand := rapid.IntRange(0, 300).Draw(t, "demand")
+				granted := bucket.Grant(now, limit, bounds, demand, rapid.IntRange(0, 300).Draw(t, "ahead"))
+				for i := range granted {
+					lifetime := AheadLifetime
+					if i < demand {
+						lifetime = DemandLifetime
+					}
+					// The worst case is the latest time at which the token is valid, up to a common moment.
+					at := now.Add(lifetime)
+					if saveUntil.After(now) && saveUntil.Before(at) {
+						at = saveUntil
+					}
+					spent = append(spent, at)
+				}
+			}
+		}
+		checkWindows(t, spent, limit)
+	})
+}
+
+func checkWindows(t *rapid.T, spent []time.Time, limit Limit) {
+	for _, from := range spent {
+		sum := 0
+		for _, at := range spent {
+			if !at.Before(from) && at.Before(from.Add(bounds.Window)) {
+				sum++
+			}
+		}
+		if float64(sum) > bounds.Most(limit) {
+			t.Fatalf("%d requests in a window from %v, allowed are %.1f", sum, from.Sub(start), bounds.Most(limit))
+		}
+	}
+}
+
+// A new holder must not grant what the former one may have granted already.
+func TestNewBucketIsEmptyUntilItMayGrant(t *testing.T) {
+	c := qt.New(t)
+	b := NewBucket(start.Add(time.Second))
+	limit := Limit{Rate: 10, Burst: 50}
+	c.Assert(b.Grant(start, limit, bounds, 5, 0), qt.Equals, 0)
+	c.Assert(b.Grant(start.Add(time.Second), limit, bounds, 5, 0), qt.Equals, 0)
+	c.Assert(b.Grant(start.Add(2*time.Second), limit, bounds, 50, 0), qt.Equals, 10)
+}
+
+// A burst that was saved up under a higher limit must not be granted under a lower one.
+func TestLowerLimitCutsTheBucket(t *testing.T) {
+	b := NewBucket(start)
+	b.Grant(start.Add(time.Minute), Limit{Rate: 100, Burst: 500}, bounds, 0, 0)
+	qt.Assert(t, b.Grant(start.Add(time.Minute), Limit{Rate: 10, Burst: 5}, bounds, 500, 0), qt.Equals, 5)
+}
+
+// Entries without a holder must together admit no more than the limit, also where each has saved up a
+// token.
+func TestFixedSharesStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: rapid.Float64Range(0.2, 400).Draw(t, "rate")}
+		entries := rapid.IntRange(1, 80).Draw(t, "entries")
+		rate := limit.Rate / float64(entries)
+		shares := make([]Share, entries)
+		for i := range shares {
+			shares[i].Start(start, rate, (float64(i)+rapid.Float64Range(0, 1).Draw(t, "phase"))/float64(entries))
+		}
+		var spent []time.Time
+		idle := rapid.IntRange(0, 8000).Draw(t, "idle")
+		for ms := idle; ms < idle+6000; ms += 10 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for i := range shares {
+				if shares[i].Take(now, rate, limit.Rate) {
+					spent = append(spent, now)
+				}
+			}
+		}
+		if len(spent) > 0 {
+			checkWindows(t, spent, limit)
+		}
+	})
+}
