Bound tenants' requests over the whole fleet

Cause: the quotas of the configuration were read but bound nothing.

Change: the live node with the highest rendezvous hash holds the token buckets of a group of tenants, and entries lease tokens from it with GrantQuota. A call without a token waits up to 100 ms for one, then the entry's fixed share decides, and a call over the quota is answered 429 with Retry-After. Reports carry the sender's uptime, by which a process notices that it was frozen, and the groups for which its entry uses fixed shares. Quotas are off without the section [quotas].

--- a/internal/decision/quota/bounds.go
+++ b/internal/decision/quota/bounds.go
@@ -39,8 +39,8 @@
 	aheadShare      = 0.6
 	aheadSlackShare = 0.25
 	// minCapacityTime and minCapacitySlackShare give the room of a bucket whose burst is smaller
-	// than what accrues between two requests of an entry.
-	minCapacityTime       = 200 * time.Millisecond
+	// than what accrues between two requests of an entry, a second.
+	minCapacityTime       = 2 * time.Second
 	minCapacitySlackShare = 0.5
 )
 
@@ -54,8 +54,8 @@
 	return max(l.Burst, min(l.Rate*minCapacityTime.Seconds(), b.Slack*minCapacitySlackShare), 1)
 }
 
-// ahead returns the number of tokens for later calls that may be granted in one AheadLifetime. They
-// are the most that entries can save up before a window and spend in it.
+// ahead returns the number of tokens for later calls that all entries may hold together. They are the
+// most that entries can save up before a window and spend in it.
 func (b Bounds) ahead(l Limit) float64 {
 	return aheadShare*b.Overage*b.Window.Seconds()*l.Rate + aheadSlackShare*b.Slack
 }
--- a/internal/decision/quota/bucket.go
+++ b/internal/decision/quota/bucket.go
@@ -5,55 +5,58 @@
 	"time"
 )
 
-const (
-	aheadSlices = 10
-	aheadSlice  = AheadLifetime / aheadSlices
-)
-
 // Bucket holds the tokens of one tenant at its holder.
 type Bucket struct {
 	tokens  float64
 	updated time.Time
-	// from is when the bucket was empty first.
-	from time.Time
-	// ahead counts the tokens granted for later calls, in slices of AheadLifetime and one more.
-	ahead  [aheadSlices + 1]int
-	newest int64
+	// saved holds the tokens for later calls that entries may still have, by entry.
+	saved map[uint64]lot
 }
 
 // NewBucket returns a bucket that is empty at from and grants nothing before.
-func NewBucket(from time.Time) *Bucket { return &Bucket{updated: from, from: from} }
+func NewBucket(from time.Time) *Bucket { return &Bucket{updated: from, saved: map[uint64]lot{}} }
 
-// Grant takes up to demand tokens for calls that wait or are expected at once, and up to ahead
-// tokens for later ones. It returns the number of tokens taken, those on demand first.
-func (b *Bucket) Grant(now time.Time, l Limit, bounds Bounds, demand, ahead int) int {
+// Grant takes up to the wanted tokens for an entry, identified by its incarnation. It returns the
+// number of tokens taken, those on demand first.
+func (b *Bucket) Grant(now time.Time, l Limit, bounds Bounds, entry uint64, want Want) int {
 	if now.Before(b.updated) {
 		return 0
 	}
 	b.tokens = min(b.tokens+l.Rate*now.Sub(b.updated).Seconds(), bounds.capacity(l))
 	b.updated = now
-	granted := min(max(0, demand), int(b.tokens))
+	granted := min(max(0, want.Demand), int(b.tokens))
 	b.tokens -= float64(granted)
-	saved := min(max(0, ahead), int(b.tokens), int(math.Max(0, bounds.ahead(l)-float64(b.recentAhead(now)))))
-	b.tokens -= float64(saved)
-	b.ahead[b.newest%int64(len(b.ahead))] += saved
-	return granted + saved
+	b.release(now, entry, want.Held)
+	room := int(math.Max(0, bounds.ahead(l)-float64(b.savedTokens(now))))
+	ahead := min(max(0, want.Ahead), int(b.tokens), room)
+	if ahead > 0 {
+		b.tokens -= float64(ahead)
+		b.saved[entry] = lot{tokens: b.saved[entry].tokens + ahead, expires: now.Add(AheadLifetime)}
+	}
+	return granted + ahead
 }
 
-// recentAhead returns the number of tokens for later calls that may be unused yet.
-func (b *Bucket) recentAhead(now time.Time) int {
-	slice := int64(now.Sub(b.from) / aheadSlice)
-	for range min(slice-b.newest, int64(len(b.ahead))) {
-		b.newest++
-		b.ahead[b.newest%int64(len(b.ahead))] = 0
-	}
-	if slice > b.newest {
-		b.newest = slice
-		b.ahead[slice%int64(len(b.ahead))] = 0
+// release notes how many tokens an entry still holds. It never holds more than it was granted.
+func (b *Bucket) release(now time.Time, entry uint64, held int) {
+	s, ok := b.saved[entry]
+	switch {
+	case !ok:
+	case held <= 0 || !now.Before(s.expires):
+		delete(b.saved, entry)
+	default:
+		b.saved[entry] = lot{tokens: min(s.tokens, held), expires: s.expires}
 	}
+}
+
+// savedTokens returns the number of tokens for later calls that entries may still have.
+func (b *Bucket) savedTokens(now time.Time) int {
 	sum := 0
-	for _, n := range b.ahead {
-		sum += n
+	for entry, s := range b.saved {
+		if !now.Before(s.expires) {
+			delete(b.saved, entry)
+			continue
+		}
+		sum += s.tokens
 	}
 	return sum
 }
--- a/internal/decision/quota/lease.go
+++ b/internal/decision/quota/lease.go
@@ -11,10 +11,10 @@
 	// expectedTime is the time for which calls are expected when tokens are asked for on demand. It
 	// is below DemandLifetime by a round trip between regions.
 	expectedTime = 150 * time.Millisecond
-	// stockTime is the time for which tokens for later calls are asked for, and minAheadDemand the
-	// calls per second below which most of them would expire.
-	stockTime      = 700 * time.Millisecond
-	minAheadDemand = 1.2
+	// stockTime is the time for which tokens for later calls are asked for: several round trips
+	// between regions. minAheadDemand is the calls per second below which half of them would expire.
+	stockTime      = 250 * time.Millisecond
+	minAheadDemand = 0.7
 	// minAskInterval and maxAskInterval bound the time before an entry asks again that got less
 	// than it asked for. A node of 0.16 cores answers a few hundred requests per second.
 	minAskInterval  = 50 * time.Millisecond
@@ -22,7 +22,7 @@
 	askIntervalStep = 1.5
 	// aheadInterval bounds how often tokens are asked for ahead, and scarceInterval how often after
 	// the holder had too few of them.
-	aheadInterval  = 100 * time.Millisecond
+	aheadInterval  = 50 * time.Millisecond
 	scarceInterval = 400 * time.Millisecond
 	// goodGrant is the number of tokens that makes an entry ask sooner.
 	goodGrant = 4
@@ -54,8 +54,13 @@
 	// Demand is for calls that wait or are expected at once, and Ahead for later ones.
 	Demand int
 	Ahead  int
+	// Held is the number of tokens that it has.
+	Held int
 }
 
+// IsZero reports whether nothing is wanted.
+func (w Want) IsZero() bool { return w.Demand == 0 && w.Ahead == 0 }
+
 // Arrived counts a call.
 func (l *Lease) Arrived(now time.Time) {
 	l.calls = l.demand(now) + 1/demandMemory.Seconds()
@@ -103,11 +108,6 @@
 // AskAt returns when the holder may be asked next.
 func (l *Lease) AskAt() time.Time { return l.askAt }
 
-// Idle reports whether the lease holds nothing that matters.
-func (l *Lease) Idle(now time.Time) bool {
-	return l.demand(now) < 0.01 && l.Held(now) == 0 && l.MayAsk(now)
-}
-
 // Want returns what to ask for while the given number of calls waits. It is zero if none waits and
 // the stock suffices.
 func (l *Lease) Want(now time.Time, waiting int) Want {
@@ -123,7 +123,7 @@
 	if waiting == 0 && held >= target-target/2 {
 		return Want{}
 	}
-	w := Want{Demand: waiting}
+	w := Want{Demand: waiting, Held: held}
 	if waiting > 0 && held == 0 {
 		w.Demand += int(demand * expectedTime.Seconds())
 	}
@@ -189,3 +189,6 @@
 func spreadOver(d time.Duration, spread float64) time.Duration {
 	return time.Duration((0.75 + 0.5*spread) * float64(d))
 }
+
+// Drop discards the tokens.
+func (l *Lease) Drop() { l.lots = nil }
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -14,6 +14,12 @@
 	route *indexedRoute
 	// tenant is the owner of the caller's access key, or nil.
 	tenant *Tenant
+	// quota is the state of the tenant's quota, or nil without one.
+	quota *tenantQuota
+	// quotaDeadline is when a call that waits for a token stops to wait for it, and quotaRetryAt
+	// when a call over the quota should be sent again.
+	quotaDeadline time.Time
+	quotaRetryAt  time.Time
 	// hideCredentials is set if the request's access key must not leave this entry.
 	hideCredentials bool
 	// objective is the time after which an answer loses most of its value, or zero.
@@ -286,6 +292,7 @@
 	r.countCall(c, false)
 	delete(r.calls, e.Call)
 	delete(r.callsAwaitingTable, e.Call)
+	r.forgetQuotaWait(c)
 	r.keys.stopWaiting(c)
 }
 
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -15,6 +15,9 @@
 	DecisionAttemptSettled DecisionKind = "attempt-settled"
 	DecisionCallRejected   DecisionKind = "call-rejected"
 	DecisionCallerLeft     DecisionKind = "caller-left"
+	// DecisionQuotaAdmitted reports a call that waited for a token of its tenant's quota, or that
+	// was admitted by the entry's fixed share.
+	DecisionQuotaAdmitted DecisionKind = "quota-admitted"
 )
 
 // The decisions of the guard role about an attempt.
@@ -34,6 +37,10 @@
 	DecisionUpstreamChanged  DecisionKind = "upstream-changed"
 	DecisionMemberChanged    DecisionKind = "member-changed"
 	DecisionRequestSuspected DecisionKind = "request-suspected"
+	// DecisionQuotaHolderChanged reports a new holder of a group of tenants' quotas, and
+	// DecisionQuotaHolderLost a holder that does not grant.
+	DecisionQuotaHolderChanged DecisionKind = "quota-holder-changed"
+	DecisionQuotaHolderLost    DecisionKind = "quota-holder-lost"
 )
 
 // Decision reports a decision and its inputs to operators. Fields that don't apply to the
@@ -86,7 +93,8 @@
 // TouchesRequest reports whether the decision is about one request.
 func (d Decision) TouchesRequest() bool {
 	switch d.Kind {
-	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected:
+	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected,
+		DecisionQuotaHolderChanged, DecisionQuotaHolderLost:
 		return false
 	default:
 		return true
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -59,6 +59,15 @@
 	announcedLeaving bool
 	// plansReachable reports whether the peer can reach the plan store.
 	plansReachable bool
+	// quotaAnsweredAt is when the peer last answered a request for tokens, and quotaFallback has a bit
+	// for each group of tenants for which its entry uses fixed shares.
+	quotaAnsweredAt time.Time
+	quotaFallback   uint32
+	// quotaHeardSince is when a holder began to hear the peer without a break, or zero.
+	quotaHeardSince time.Time
+	// uptimeAhead is how far the peer's uptime was ahead of this process's at uptimeNotedAt.
+	uptimeAhead   time.Duration
+	uptimeNotedAt time.Time
 	// excluded reports whether the plan excludes the upstream from new work.
 	excluded bool
 	// weight is the plan's weight for the peer's region; zero sends no work there.
--- /dev/null
+++ b/internal/decision/reducer/quotawait_test.go
@@ -0,0 +1,193 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// newQuotaEntry returns a node with a tenant whose quota is held by another node, and that node's ID.
+func newQuotaEntry(c *qt.C) (*routedNode, NodeID) {
+	n := newRoutedNode(true)
+	n.Settings.QuotaWindow, n.Settings.QuotaOverage, n.Settings.QuotaSlack = 5*time.Second, 0.1, 20
+	holder := n.peer(2, "r1", load(0, time.Millisecond))
+	n.step(MembersListed{})
+	n.step(Tick{})
+	for i := range 100 {
+		n.step(PlanPublished{Plan: quotaPlan(int64(2+i), Tenant{Name: fmt.Sprint("t", i), RatePerSecond: 10, Burst: 5})})
+		if q := n.quotas.tenants[fmt.Sprint("t", i)]; q.group.holder == holder {
+			return n, holder
+		}
+	}
+	c.Fatal("no tenant is held by the other node")
+	return nil, holder
+}
+
+// quotaCall starts a call of the node's only tenant.
+func (n *routedNode) quotaCall() []Effect {
+	return n.callWithKey("/a/x", "digest-of-"+n.tenants.tenants[0].Name, false)
+}
+
+func quotaRequests(effects []Effect) (requests []RequestQuota) {
+	for _, effect := range effects {
+		if e, ok := effect.(RequestQuota); ok {
+			requests = append(requests, e)
+		}
+	}
+	return requests
+}
+
+func sentAttempts(effects []Effect) (sent []SendAttempt) {
+	for _, effect := range effects {
+		if e, ok := effect.(SendAttempt); ok {
+			sent = append(sent, e)
+		}
+	}
+	return sent
+}
+
+func (n *routedNode) grant(request RequestQuota, tokens int) []Effect {
+	return n.step(QuotaAnswered{
+		Request: request.Request, Holder: true, Granted: []QuotaTokens{{Tenant: request.Wanted[0].Tenant, Tokens: tokens}},
+	})
+}
+
+// Calls that wait for the same holder must not ask one by one, and each must take one token, also if it
+// is sent again.
+func TestWaitingCallsShareARequest(t *testing.T) {
+	c := qt.New(t)
+	n, holder := newQuotaEntry(c)
+	first := quotaRequests(n.quotaCall())
+	c.Assert(first, qt.HasLen, 1)
+	c.Assert(first[0].Target, qt.Equals, holder)
+	for range 3 {
+		c.Assert(n.quotaCall(), qt.HasLen, 0)
+	}
+	effects := n.grant(first[0], 1)
+	c.Assert(sentAttempts(effects), qt.HasLen, 1)
+	second := quotaRequests(effects)
+	c.Assert(second, qt.HasLen, 1)
+	c.Assert(second[0].Wanted[0].Tokens >= 3, qt.IsTrue)
+	effects = n.grant(second[0], 2)
+	sent := sentAttempts(effects)
+	c.Assert(sent, qt.HasLen, 2)
+	c.Assert(mustReject(c, effects).Problem, qt.Equals, ProblemQuotaExceeded)
+	again := n.step(AttemptRefused{Call: sent[0].Call, Attempt: sent[0].Attempt, Reason: RefusalBusy})
+	c.Assert(sentAttempts(again), qt.HasLen, 1)
+	c.Assert(quotaRequests(again), qt.HasLen, 0)
+}
+
+// A call must not wait for ever, nor leave anything behind: it ends by its deadline, with its caller,
+// or after a short time-out, also while the node stops.
+func TestWaitForTokensEnds(t *testing.T) {
+	c := qt.New(t)
+	for name, end := range map[string]func(n *routedNode){
+		"deadline": func(n *routedNode) {
+			reject := mustReject(c, n.step(CallExpired{Call: n.calls}))
+			c.Check(reject.Problem, qt.Equals, ProblemDeadline)
+			c.Check(reject.Outcome, qt.Equals, OutcomeNotRun)
+		},
+		"caller left": func(n *routedNode) {
+			n.step(CallerLeft{Call: n.calls})
+			c.Check(sentAttempts(n.grant(RequestQuota{
+				Request: n.quotas.tenants[n.tenants.tenants[0].Name].group.request.id, Wanted: []QuotaTokens{{Tenant: n.tenants.tenants[0].Name}},
+			}, 1)), qt.HasLen, 0)
+		},
+		"time-out": func(n *routedNode) {
+			n.advance(maxQuotaWait)
+			reject := mustReject(c, n.step(Tick{}))
+			c.Check(reject.Problem, qt.Equals, ProblemQuotaExceeded)
+			c.Check(reject.Outcome, qt.Equals, OutcomeNotRun)
+			c.Check(reject.ResendAt.After(n.now), qt.IsTrue)
+		},
+		"stop": func(n *routedNode) {
+			n.step(StopRequested{})
+			n.advance(maxQuotaWait)
+			mustReject(c, n.step(Tick{}))
+		},
+	} {
+		n, _ := newQuotaEntry(c)
+		c.Assert(quotaRequests(n.quotaCall()), qt.HasLen, 1, qt.Commentf(name))
+		end(n)
+		n.step(CallEnded{Call: n.calls})
+		c.Check(n.Reducer.calls, qt.HasLen, 0)
+		for i := range n.quotas.groups {
+			c.Check(n.quotas.groups[i].waiting, qt.HasLen, 0, qt.Commentf(name))
+		}
+	}
+}
+
+// Without the settings' section, limits in the plan must change nothing.
+func TestQuotasAreOffWithoutSettings(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	n.Settings.QuotaWindow = 0
+	for range 100 {
+		c.Assert(sentAttempts(n.quotaCall()), qt.HasLen, 1)
+	}
+	c.Assert(n.loadDigest().Uptime, qt.Equals, time.Duration(0))
+}
+
+// A node must grant nothing to an entry that takes another process for the holder, while it is not the
+// holder in its own view, or while a former holder may still grant.
+func TestOnlyTheHolderGrants(t *testing.T) {
+	c := qt.New(t)
+	n, other := newQuotaEntry(c)
+	tenant := n.tenants.tenants[0].Name
+	ask := func(incarnation uint64) bool {
+		for _, effect := range n.step(QuotaRequested{
+			Work: 1, Entry: other, Holder: incarnation, Wanted: []QuotaTokens{{Tenant: tenant, Tokens: 1}},
+		}) {
+			if reply, ok := effect.(QuotaReply); ok {
+				return reply.Holder
+			}
+		}
+		c.Fatal("no reply")
+		return false
+	}
+	c.Assert(ask(n.Self.Incarnation), qt.IsFalse)
+	for range 60 {
+		// The other node falls silent, and this one becomes the holder.
+		n.advance(50 * time.Millisecond)
+		n.step(Tick{})
+		q := n.quotas.tenants[tenant]
+		if q.group.holder != other {
+			c.Assert(ask(n.Self.Incarnation), qt.Equals, !n.now.Before(q.group.grantFrom))
+		}
+	}
+	c.Assert(ask(n.Self.Incarnation), qt.IsTrue)
+	c.Assert(ask(n.Self.Incarnation+1), qt.IsFalse)
+}
+
+// State must not outlive the tenant's quota, and a call that waits must not be lost with it.
+func TestQuotaStateIsDroppedWithThePlan(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	n.quotaCall()
+	former := n.tenants.tenants[0]
+	effects := n.step(PlanPublished{Plan: quotaPlan(1000, Tenant{Name: former.Name})})
+	c.Assert(sentAttempts(effects), qt.HasLen, 1)
+	c.Assert(n.quotas.tenants, qt.HasLen, 0)
+	for i := range n.quotas.groups {
+		c.Assert(n.quotas.groups[i].tenants, qt.HasLen, 0)
+		c.Assert(n.quotas.groups[i].waiting, qt.HasLen, 0)
+	}
+}
+
+// A lower limit must bind one window after it is in force everywhere.
+func TestLowerLimitBindsAfterAWindow(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newQuotaFleet(seed, 12, Tenant{Name: "t", RatePerSecond: 100, Burst: 200})
+		clients := f.addClients("t", 12, steady(500))
+		f.run(3 * time.Second)
+		f.publish(quotaPlan(2, Tenant{Name: "t", RatePerSecond: 10, Burst: 10}))
+		f.run(2 * time.Second)
+		everywhere := f.now
+		f.run(12 * time.Second)
+		limit := f.nodes[0].quotas.tenants["t"].limit
+		excess, calls := clients.worst(limit, everywhere, f.now)
+		qt.Check(t, excess <= 0, qt.IsTrue, qt.Commentf("seed %d: %d calls", seed, calls))
+	}
+}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -60,6 +60,9 @@
 	planInForceIndex planIndex
 	// tenants holds the tenants of the plan in force.
 	tenants tenantTable
+	quotas  quotas
+	// membersWereListed is set once a directory's members were listed.
+	membersWereListed bool
 
 	calls map[CallID]*call
 	// callsAwaitingTable holds the keyed calls that wait for a home table of their service.
@@ -128,6 +131,8 @@
 		r.stepEntry(e)
 	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded:
 		r.stepGuard(e)
+	case QuotaAnswered, QuotaRequestFailed, QuotaRequested:
+		r.stepQuota(e)
 	default:
 		r.stepMember(e)
 	}
@@ -220,6 +225,17 @@
 	}
 }
 
+func (r *Reducer) stepQuota(event Event) {
+	switch e := event.(type) {
+	case QuotaAnswered:
+		r.quotaAnswered(e)
+	case QuotaRequestFailed:
+		r.quotaRequestFailed(e)
+	case QuotaRequested:
+		r.quotaRequested(e)
+	}
+}
+
 func (r *Reducer) stepMember(event Event) {
 	switch e := event.(type) {
 	case RecordRead:
@@ -276,6 +292,7 @@
 	r.exchangeIfDue()
 	r.maintainHomeTables()
 	r.startWork()
+	r.quotaTick()
 	r.report()
 	if r.stopping {
 		r.stopAdmission()
@@ -322,6 +339,7 @@
 	}
 	r.routes.setRoutes(plan.spec.Routes)
 	r.tenants = newTenantTable(plan.spec.Tenants)
+	r.quotaPlanChanged()
 	r.reportSoon()
 	r.members.rebuildServices(r.planInForceIndex)
 	r.refuseQueueWhenLeaving()
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -181,14 +181,14 @@
 }
 
 // relayReport relays a report that came directly from another region within this region: to the
-// entries that use the peer's upstream, or to all nodes if it carries an announcement. A
-// report whose sender is not the peer itself was relayed already and is not relayed again.
+// entries that use the peer's upstream, or to all nodes if it carries an announcement or the peer
+// holds tenants' quotas, because every entry must notice soon when a holder is gone. A report whose sender is not the peer itself was relayed already and is not relayed again.
 func (r *Reducer) relayReport(e LoadReportReceived, p *peer) {
 	if p.tier != tierOtherRegion || e.From != p.member.spec.Address {
 		return
 	}
 	receivers, others := r.members.reportReceivers(p)
-	if len(e.Members) > 0 {
+	if len(e.Members) > 0 || r.holdsQuotas(p) {
 		receivers = slices.Concat(receivers, others)
 	}
 	if len(receivers) > 0 {
@@ -220,10 +220,15 @@
 // loadDigest returns the digest that a report carries, without the state of the log and of
 // the members.
 func (r *Reducer) loadDigest() Digest {
-	return Digest{
+	d := Digest{
 		Address: r.Self.Address, Incarnation: r.Self.Incarnation, PlanOffset: r.planInForce.offset, Load: r.loadReport(),
 		PlanStoreReachable: r.plansReachable,
 	}
+	if r.quotasOn() {
+		d.Uptime = r.uptime()
+		d.QuotaFallback = r.quotas.fallback
+	}
+	return d
 }
 
 // loadReportReceived handles a peer's load report.
@@ -244,6 +249,8 @@
 		p.heardAt = r.now
 	}
 	p.plansReachable = e.Digest.PlanStoreReachable
+	p.quotaFallback = e.Digest.QuotaFallback
+	r.noteUptime(p, e.Digest.Uptime)
 	p.reachable()
 	if !e.Digest.Load.IsZero() {
 		p.recordReport(e.Digest.Load, r.now, 0)
@@ -291,6 +298,7 @@
 // directory whose addresses are unknown. For known addresses the peers' own announcements are more
 // current.
 func (r *Reducer) membersListed(e MembersListed) {
+	r.membersWereListed = true
 	r.leavingRunsListed(e.LeavingRuns)
 	for _, m := range e.Members {
 		if r.members.peers[m.ID().Address()] == nil {
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -32,7 +32,7 @@
 		r.reject(c, OutcomeNotRun, ProblemQuarantined)
 		return
 	}
-	r.dispatch(c)
+	r.admitByQuota(c)
 }
 
 // pickUpstream returns the upstream for the call's next attempt, or nil.
@@ -100,6 +100,9 @@
 	if outcome != OutcomeNotRun || c.route == nil {
 		return time.Time{}
 	}
+	if problem == ProblemQuotaExceeded {
+		return c.quotaRetryAt
+	}
 	switch problem {
 	case ProblemOverloaded, ProblemNoUpstream, ProblemDeadline:
 	default:
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -96,6 +96,12 @@
 	// Objective is the target fraction of good calls, against which burn rates are
 	// computed.
 	Objective float64
+	// QuotaWindow is the window over which tenants' quotas are bounded; zero switches quotas off.
+	QuotaWindow time.Duration
+	// QuotaOverage and QuotaSlack are how far a tenant's requests in a window may exceed its quota:
+	// a share of it, and a number of requests.
+	QuotaOverage float64
+	QuotaSlack   float64
 	// StopAllowance limits the duration of a graceful stop.
 	StopAllowance time.Duration
 }
--- a/internal/decision/reducer/status.go
+++ b/internal/decision/reducer/status.go
@@ -33,6 +33,10 @@
 	ProbesDenied     uint64 `json:"probes_denied"`
 	UpstreamDeaths   uint64 `json:"upstream_deaths"`
 	CrossRegionBytes uint64 `json:"cross_region_bytes"`
+	// QuotaRequests counts the requests for tokens to holders, and QuotaTokensGranted the tokens
+	// that this node granted as a holder.
+	QuotaRequests      uint64 `json:"quota_requests"`
+	QuotaTokensGranted uint64 `json:"quota_tokens_granted"`
 }
 
 // MemberStatus holds a node's view of one member.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -119,7 +119,10 @@
 	if err != nil {
 		return err
 	}
-	n.client = &peer.Client{Loop: n.loop, TLS: clientTLS, Counter: &n.control}
+	n.client = &peer.Client{
+		Loop: n.loop, TLS: clientTLS, Counter: &n.control,
+		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
+	}
 	n.client.Prepare()
 	n.guard = &upstream.Guard{Loop: n.loop, PendingCrashNotices: n.telling.Load, Protocol: n.Adapter.upstreamProtocol()}
 	n.guard.Prepare()
@@ -170,6 +173,8 @@
 		n.Logger.Info().Str("event", "handover-offered").Str("service", e.Change.Service).
 			Str("to", e.Change.To.Address).Int("shares", len(e.Change.Partitions)).Msgs()
 		go n.client.Handover(e)
+	case reducer.RequestQuota:
+		go n.client.RequestQuota(e)
 	case reducer.SendSuspect:
 		n.telling.Add(1)
 		go n.warn("suspect-not-told", func() error {
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -34,6 +34,8 @@
 	Loop *loop.Loop
 	// TLS is used towards peers, or nil for plain TCP.
 	TLS *tls.Config
+	// Self is the ID of this process.
+	Self reducer.NodeID
 	// Counter counts the bytes of control requests.
 	Counter *ByteCounter
 
--- a/internal/mesh/peer/convert.go
+++ b/internal/mesh/peer/convert.go
@@ -47,7 +47,8 @@
 	return &StateDigest{
 		Address: d.Address, Incarnation: d.Incarnation, PlanOffset: d.PlanOffset, LogNext: d.LogNext,
 		LogKnown: d.LogKnown, Members: int32(d.Members), MembersHash: d.MembersHash, Load: d.Load.String(),
-		PlansReachable: d.PlanStoreReachable,
+		PlansReachable: d.PlanStoreReachable, UptimeMilliseconds: uint64(d.Uptime.Milliseconds()),
+		QuotaFallback: d.QuotaFallback,
 	}
 }
 
@@ -60,6 +61,7 @@
 		Address: d.GetAddress(), Incarnation: d.GetIncarnation(), PlanOffset: d.GetPlanOffset(),
 		LogNext: d.GetLogNext(), LogKnown: d.GetLogKnown(), Members: int(d.GetMembers()),
 		MembersHash: d.GetMembersHash(), Load: load, PlanStoreReachable: d.GetPlansReachable(),
+		Uptime: time.Duration(d.GetUptimeMilliseconds()) * time.Millisecond, QuotaFallback: d.GetQuotaFallback(),
 	}
 }
 
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -96,8 +96,3 @@
 	}
 	return twirp.InternalError("the node gave no reply; ask again")
 }
-
-// GrantQuota answers an entry's request for parts of tenants' quotas. This node is no holder.
-func (s *Server) GrantQuota(context.Context, *GrantQuotaRequest) (*GrantQuotaResponse, error) {
-	return &GrantQuotaResponse{}, nil
-}
--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -166,6 +166,23 @@
 	return f
 }
 
+// quotas reads the bounds of tenants' quotas, which are off where the section is absent.
+func (r *reader) quotas(s *reducer.Settings) {
+	window := r.duration("quotas", "window", defaultQuotaWindow, time.Second, time.Hour)
+	s.QuotaOverage = r.share("quotas", "overage", defaultQuotaOverage)
+	s.QuotaSlack = r.number("quotas", "slack", defaultQuotaSlack, 0, 1e6)
+	if r.file.HasSection("quotas") {
+		s.QuotaWindow = window
+	}
+}
+
+// The bounds of tenants' quotas where the section does not set them.
+const (
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20
+)
+
 func (r *reader) policy(otherwise reducer.PolicyName) reducer.PolicyName {
 	value := reducer.PolicyName(r.text("routing", "policy"))
 	if value == "" {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -202,6 +202,7 @@
 	s.ProbeBytesBudget = r.integer("probes", "bytes_per_second", s.ProbeBytesBudget, 0, 1<<20)
 	s.Quarantine = r.duration("quarantine", "time", s.Quarantine, time.Second, 24*time.Hour)
 	s.Objective = r.share("burn", "objective", s.Objective)
+	r.quotas(&s)
 	s.StopAllowance = r.duration("stop", "allowance", s.StopAllowance, time.Second, 24*time.Hour)
 	return s
 }
