Count an entry at the one holder that its reports name

Change: reports carry a mark of the holder that the sender's entry uses for each group of tenants, and a holder grants only the share of the members whose reports name it. Holders get all reports of other regions.

TestThawedHolderGrantsNothing guards against a holder that goes on after a freeze; it fails without either way to notice the freeze.

--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -55,10 +55,10 @@
 	MembersHash uint64
 	// PlanStoreReachable reports whether the node can reach the plan store.
 	PlanStoreReachable bool
-	// Uptime is the time since the process's start, and QuotaFallback has a bit for each group of
-	// tenants for which its entry uses fixed shares. Both are zero where quotas are off.
-	Uptime        time.Duration
-	QuotaFallback uint32
+	// Uptime is the time since the process's start, and QuotaHolders has a byte for each group of
+	// tenants, the mark of the holder that the entry uses. Both are zero where quotas are off.
+	Uptime       time.Duration
+	QuotaHolders uint64
 	// Load is the load of the node's guard.
 	Load LoadReport
 }
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -59,12 +59,10 @@
 	announcedLeaving bool
 	// plansReachable reports whether the peer can reach the plan store.
 	plansReachable bool
-	// quotaAnsweredAt is when the peer last answered a request for tokens, and quotaFallback has a bit
-	// for each group of tenants for which its entry uses fixed shares.
+	// quotaAnsweredAt is when the peer last answered a request for tokens, and quotaHolders holds the
+	// marks of the holders that its entry uses, a byte for each group of tenants.
 	quotaAnsweredAt time.Time
-	quotaFallback   uint32
-	// quotaHeardSince is when a holder began to hear the peer without a break, or zero.
-	quotaHeardSince time.Time
+	quotaHolders    uint64
 	// uptimeAhead is how far the peer's uptime was ahead of this process's at uptimeNotedAt.
 	uptimeAhead   time.Duration
 	uptimeNotedAt time.Time
--- a/internal/decision/reducer/quota.go
+++ b/internal/decision/reducer/quota.go
@@ -33,8 +33,6 @@
 	viewDue time.Time
 	// steppedAt is the time of the last step that this node noticed.
 	steppedAt time.Time
-	// fallback has a bit for each group for which this entry uses fixed shares.
-	fallback uint32
 }
 
 // quotaGroup is a group of tenants that have the same holder.
@@ -48,6 +46,8 @@
 	fraction float64
 	// request is the request in flight, or nil.
 	request *quotaRequest
+	// fallback is set while this entry uses fixed shares.
+	fallback bool
 	// lostSince is when the holder first did not grant, or zero.
 	lostSince time.Time
 	// probeAt is the earliest time of the next request while the holder is lost.
@@ -175,10 +175,10 @@
 func (r *Reducer) admitByShare(c *call) {
 	q := c.quota
 	g := q.group
-	if r.quotas.fallback&(1<<g.index) == 0 {
+	if !g.fallback {
 		// The holder counts only the entries that use its grants.
-		r.quotas.fallback |= 1 << g.index
-		r.reportSoon()
+		g.fallback = true
+		r.reportQuotaHolders()
 	}
 	rate := q.limit.Rate / float64(max(1, len(r.members.order)))
 	if r.now.Before(g.lostSince.Add(uncertainTime)) {
--- a/internal/decision/reducer/quota_test.go
+++ b/internal/decision/reducer/quota_test.go
@@ -96,6 +96,10 @@
 	{"regions cut off from each other", func(f *quotaFleet) {
 		cutFor(f, func(a, b *quotaNode) bool { return a.region != b.region })
 	}},
+	{"holder's region cut off", func(f *quotaFleet) {
+		region := f.holder("large").region
+		cutFor(f, func(a, b *quotaNode) bool { return (a.region == region) != (b.region == region) })
+	}},
 	{"entry restarted", func(f *quotaFleet) {
 		for range 3 {
 			n := f.nodes[f.random.IntN(len(f.nodes))]
@@ -162,7 +166,7 @@
 // calls for good.
 func TestQuotaBoundHoldsDuringFailures(t *testing.T) {
 	limits := map[string]quota.Limit{
-		"hot": {Rate: 40, Burst: 20}, "large": {Rate: 150, Burst: 10}, "waves": {Rate: 100, Burst: 50}, "mid": {Rate: 12, Burst: 12}, "tiny": {Rate: 1, Burst: 2},
+		"hot": {Rate: 40, Burst: 20}, "large": {Rate: 300, Burst: 10}, "waves": {Rate: 100, Burst: 50}, "mid": {Rate: 12, Burst: 12}, "tiny": {Rate: 1, Burst: 2},
 	}
 	for _, failure := range quotaFailures {
 		t.Run(failure.name, func(t *testing.T) {
@@ -173,7 +177,7 @@
 				}
 				f := newQuotaFleet(seed, 16, tenants...)
 				f.addClients("hot", 16, steady(400))
-				f.addClients("large", 16, steady(600))
+				f.addClients("large", 16, steady(900))
 				period := time.Duration(1+f.random.IntN(4)) * time.Second
 				f.addClients("waves", 16, func(now time.Time) float64 {
 					if now.UnixNano()/int64(period)%2 == 0 {
--- a/internal/decision/reducer/quotafleet_test.go
+++ b/internal/decision/reducer/quotafleet_test.go
@@ -100,7 +100,7 @@
 	return NewPlan(version, spec)
 }
 
-// newQuotaFleet returns a fleet of size nodes in two regions, after its first seconds.
+// newQuotaFleet returns a fleet of size nodes in three regions, after its first seconds.
 func newQuotaFleet(seed uint64, size int, tenants ...Tenant) *quotaFleet {
 	f := &quotaFleet{
 		now:    time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
@@ -109,7 +109,7 @@
 	}
 	for i := range size {
 		f.nodes = append(f.nodes, &quotaNode{
-			address: fmt.Sprintf("10.0.%d.%d:7600", i/200, 1+i%200), region: fmt.Sprint("r", i%2),
+			address: fmt.Sprintf("10.0.%d.%d:7600", i/200, 1+i%200), region: fmt.Sprint("r", i%3),
 		})
 	}
 	for _, n := range f.nodes {
--- a/internal/decision/reducer/quotaholder.go
+++ b/internal/decision/reducer/quotaholder.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,7 +63,7 @@
 	}
 	nearLimit := r.quotaSilence()
 	for _, p := range r.members.order {
-		if p.tier != tierSelf && !p.member.Leaving() && r.quotaLive(p, nearLimit, maxSilenceOtherRegion) {
+		if p.tier != tierSelf && !p.member.Leaving() && r.quotaLive(p, nearLimit) {
 			consider(p.member.ID(), p.subsetKey)
 		}
 	}
@@ -87,6 +88,7 @@
 		g.grantFrom = r.now.Add(r.quotaSilence())
 	}
 	r.emptyQuotaBuckets(g)
+	r.reportQuotaHolders()
 	if !first {
 		r.noteDecision(Decision{Kind: DecisionQuotaHolderChanged, Peer: holder.String(), Reason: strconv.Itoa(g.index), Plan: r.planInForce.offset})
 	}
@@ -113,9 +115,9 @@
 	return max(maxSilenceInRegion, 3*time.Duration(near)*time.Second/presencePerSecond)
 }
 
-// quotaLive reports whether a peer reported within nearLimit, or within farLimit if it is in another
-// region. Its answers to requests for tokens count as reports.
-func (r *Reducer) quotaLive(p *peer, nearLimit, farLimit time.Duration) bool {
+// quotaLive reports whether a peer reported within nearLimit, or within maxSilenceOtherRegion if it is
+// in another region. Its answers to requests for tokens count as reports.
+func (r *Reducer) quotaLive(p *peer, nearLimit time.Duration) bool {
 	if r.Settings.ReportNear <= 0 {
 		return true
 	}
@@ -124,11 +126,50 @@
 		last = p.quotaAnsweredAt
 	}
 	if p.tier == tierOtherRegion {
-		return r.now.Sub(last) < farLimit
+		return r.now.Sub(last) < maxSilenceOtherRegion
 	}
 	return r.now.Sub(last) < nearLimit
 }
 
+// quotaHolderMark returns the mark of a holder, which is not zero. Two holders may have the same mark:
+// then both count an entry that uses one of them.
+func quotaHolderMark(holder NodeID) byte {
+	return byte(subsetOrder(0, holder.Incarnation())%255) + 1
+}
+
+// quotaHolderMarks returns the marks of the holders that this entry uses, a byte for each group. It
+// is zero for a group for which the entry uses fixed shares.
+func (r *Reducer) quotaHolderMarks() uint64 {
+	var marks uint64
+	for i := range r.quotas.groups {
+		if g := &r.quotas.groups[i]; !g.fallback && !g.holder.IsZero() {
+			marks |= uint64(quotaHolderMark(g.holder)) << (8 * i)
+		}
+	}
+	return marks
+}
+
+// reportQuotaHolders makes reports due now, because holders count the entries that use them.
+func (r *Reducer) reportQuotaHolders() {
+	r.reportSoon()
+	r.reportSchedule.farDue = r.now
+}
+
+// addQuotaHolders adds the holders of this region to the receivers of a report.
+func (r *Reducer) addQuotaHolders(receivers []string) []string {
+	if !r.quotasOn() {
+		return receivers
+	}
+	receivers = slices.Clone(receivers)
+	for i := range r.quotas.groups {
+		p := r.members.byIncarnation[r.quotas.groups[i].holder.Incarnation()]
+		if p != nil && p.near() && !slices.Contains(receivers, p.member.spec.Address) {
+			receivers = append(receivers, p.member.spec.Address)
+		}
+	}
+	return receivers
+}
+
 // holdsQuotas reports whether a peer is the holder of a group of tenants' quotas.
 func (r *Reducer) holdsQuotas(p *peer) bool {
 	if !r.quotasOn() {
@@ -142,33 +183,24 @@
 	return false
 }
 
-// countQuotaMembers works out the fraction of the known members that this node hears, for each
-// group without those that use their fixed share. A member that is heard again counts only after a
-// while, because it may still use another holder.
+// countQuotaMembers works out the fraction of the known members that this node hears and whose entries
+// use it as the holder, for each group.
 func (r *Reducer) countQuotaMembers(nearLimit time.Duration) {
 	hears := r.quotaHearing(nearLimit)
 	known := r.knownMembers()
-	young := r.fleetYoung(known)
+	mark := quotaHolderMark(r.selfID())
 	var counted [quotaGroups]int
 	for _, p := range r.members.order {
-		switch {
-		case p.tier == tierSelf || p.member.Leaving():
-			continue
-		case !hears(p):
-			p.quotaHeardSince = time.Time{}
-			continue
-		case p.quotaHeardSince.IsZero():
-			p.quotaHeardSince = r.now
-		}
-		if !young && r.now.Before(p.quotaHeardSince.Add(nearLimit)) {
+		if p.tier == tierSelf || p.member.Leaving() || !hears(p) {
 			continue
 		}
 		for i := range counted {
-			if p.quotaFallback&(1<<i) == 0 {
+			if r.Settings.ReportNear <= 0 || byte(p.quotaHolders>>(8*i)) == mark {
 				counted[i]++
 			}
 		}
 	}
+	young := r.fleetYoung(known)
 	for i := range counted {
 		g := &r.quotas.groups[i]
 		g.fraction = float64(1+counted[i]) / float64(known)
@@ -207,11 +239,8 @@
 	if len(r.members.order) >= minIsolationMembers && r.now.Sub(last) > isolationSilence {
 		return func(*peer) bool { return false }
 	}
-	// Without an upstream that this region uses, a node of another region is heard only when its
-	// announcement is due. Two of them may be lost.
-	farLimit := 3 * (r.farIntroductionPeriod() + r.Settings.ReportFar)
 	return func(p *peer) bool {
-		return r.quotaLive(p, nearLimit, farLimit) &&
+		return r.quotaLive(p, nearLimit) &&
 			(p.near() || r.now.Sub(regions[p.member.Region()]) < regionSilence)
 	}
 }
@@ -263,7 +292,8 @@
 			return nil, false
 		}
 		if p := r.members.byIncarnation[entry.Incarnation()]; p != nil {
-			p.quotaFallback &^= 1 << g.index
+			p.quotaHolders &^= 0xff << (8 * g.index)
+			p.quotaHolders |= uint64(quotaHolderMark(r.selfID())) << (8 * g.index)
 		}
 		if q.bucket == nil {
 			q.bucket = quota.NewBucket(g.grantFrom)
--- a/internal/decision/reducer/quotarequest.go
+++ b/internal/decision/reducer/quotarequest.go
@@ -70,7 +70,10 @@
 		return
 	}
 	g.lostSince = time.Time{}
-	r.quotas.fallback &^= 1 << g.index
+	if g.fallback {
+		g.fallback = false
+		r.reportQuotaHolders()
+	}
 	if p := r.members.byIncarnation[g.holder.Incarnation()]; p != nil {
 		p.quotaAnsweredAt = r.now
 	}
--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -191,3 +191,53 @@
 		qt.Check(t, excess <= 0, qt.IsTrue, qt.Commentf("seed %d: %d calls", seed, calls))
 	}
 }
+
+// A holder that was frozen must not grant what it could have granted meanwhile, nor go on as the holder:
+// another node may have taken its place. Its clock may or may not have run.
+func TestThawedHolderGrantsNothing(t *testing.T) {
+	c := qt.New(t)
+	for _, clockRan := range []bool{true, false} {
+		n, other := newQuotaEntry(c)
+		var uptime time.Duration
+		hear := func() {
+			n.step(LoadReportReceived{Digest: Digest{
+				Address: other.Address(), Incarnation: other.Incarnation(), Load: load(0, time.Millisecond), Uptime: uptime,
+			}})
+		}
+		pass := func(d time.Duration) {
+			for ; d > 0; d -= 50 * time.Millisecond {
+				n.advance(50 * time.Millisecond)
+				uptime += 50 * time.Millisecond
+				n.step(Tick{})
+				hear()
+			}
+		}
+		tenant := ""
+		for i := 0; tenant == ""; i++ {
+			name := fmt.Sprint("t", i)
+			n.step(PlanPublished{Plan: quotaPlan(int64(1000+i), Tenant{Name: name, RatePerSecond: 10, Burst: 5})})
+			if n.quotas.tenants[name].group.holder == n.selfID() {
+				tenant = name
+			}
+		}
+		ask := func() QuotaReply {
+			for _, effect := range n.step(QuotaRequested{
+				Work: 1, Entry: other, Holder: n.Self.Incarnation, Uptime: uptime, Wanted: []QuotaTokens{{Tenant: tenant, Tokens: 1}},
+			}) {
+				if reply, ok := effect.(QuotaReply); ok {
+					return reply
+				}
+			}
+			return QuotaReply{}
+		}
+		pass(5 * time.Second)
+		c.Assert(ask().Granted[0].Tokens, qt.Equals, 1)
+		uptime += 4 * time.Second
+		if clockRan {
+			n.advance(4 * time.Second)
+		}
+		c.Assert(ask().Holder, qt.IsFalse, qt.Commentf("clock ran: %v", clockRan))
+		pass(2 * maxSilenceInRegion)
+		c.Assert(ask().Granted[0].Tokens, qt.Equals, 1)
+	}
+}
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -182,7 +182,8 @@
 
 // relayReport relays a report that came directly from another region within this region: to the
 // entries that use the peer's upstream, or to all nodes if it carries an announcement or the peer
-// holds tenants' quotas, because every entry must notice soon when a holder is gone. A report whose sender is not the peer itself was relayed already and is not relayed again.
+// holds tenants' quotas, because every entry must notice soon when a holder is gone. The holders of this region get all
+// reports, because they must know which entries use them. A report whose sender is not the peer itself was relayed already and is not relayed again.
 func (r *Reducer) relayReport(e LoadReportReceived, p *peer) {
 	if p.tier != tierOtherRegion || e.From != p.member.spec.Address {
 		return
@@ -190,6 +191,8 @@
 	receivers, others := r.members.reportReceivers(p)
 	if len(e.Members) > 0 || r.holdsQuotas(p) {
 		receivers = slices.Concat(receivers, others)
+	} else {
+		receivers = r.addQuotaHolders(receivers)
 	}
 	if len(receivers) > 0 {
 		r.emit(SendLoadReport{Addresses: receivers, Digest: e.Digest, Members: e.Members})
@@ -226,7 +229,7 @@
 	}
 	if r.quotasOn() {
 		d.Uptime = r.uptime()
-		d.QuotaFallback = r.quotas.fallback
+		d.QuotaHolders = r.quotaHolderMarks()
 	}
 	return d
 }
@@ -249,7 +252,7 @@
 		p.heardAt = r.now
 	}
 	p.plansReachable = e.Digest.PlanStoreReachable
-	p.quotaFallback = e.Digest.QuotaFallback
+	p.quotaHolders = e.Digest.QuotaHolders
 	r.noteUptime(p, e.Digest.Uptime)
 	p.reachable()
 	if !e.Digest.Load.IsZero() {
--- a/internal/mesh/peer/convert.go
+++ b/internal/mesh/peer/convert.go
@@ -48,7 +48,7 @@
 		Address: d.Address, Incarnation: d.Incarnation, PlanOffset: d.PlanOffset, LogNext: d.LogNext,
 		LogKnown: d.LogKnown, Members: int32(d.Members), MembersHash: d.MembersHash, Load: d.Load.String(),
 		PlansReachable: d.PlanStoreReachable, UptimeMilliseconds: uint64(d.Uptime.Milliseconds()),
-		QuotaFallback: d.QuotaFallback,
+		QuotaHolders: d.QuotaHolders,
 	}
 }
 
@@ -61,7 +61,7 @@
 		Address: d.GetAddress(), Incarnation: d.GetIncarnation(), PlanOffset: d.GetPlanOffset(),
 		LogNext: d.GetLogNext(), LogKnown: d.GetLogKnown(), Members: int(d.GetMembers()),
 		MembersHash: d.GetMembersHash(), Load: load, PlanStoreReachable: d.GetPlansReachable(),
-		Uptime: time.Duration(d.GetUptimeMilliseconds()) * time.Millisecond, QuotaFallback: d.GetQuotaFallback(),
+		Uptime: time.Duration(d.GetUptimeMilliseconds()) * time.Millisecond, QuotaHolders: d.GetQuotaHolders(),
 	}
 }
 
