--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -62,7 +62,9 @@
 	// quotaAnsweredAt is when the peer last answered a request for tokens, and quotaHolders holds the
 	// marks of the holders that its entry uses, a byte for each group of tenants.
 	quotaAnsweredAt time.Time
-	quotaHolders    uint64
+	// quotaFailedAt is when the peer last failed to answer such a request, or zero since an answer.
+	quotaFailedAt time.Time
+	quotaHolders  uint64
 	// uptimeAhead is how far the peer's uptime was ahead of this process's at uptimeNotedAt.
 	uptimeAhead   time.Duration
 	uptimeNotedAt time.Time
--- a/internal/decision/reducer/quota.go
+++ b/internal/decision/reducer/quota.go
@@ -20,7 +20,7 @@
 	// uncertainShare is the part of its fixed share that an entry admits for uncertainTime after
 	// it has lost its holder: a holder that is alive on the other side of a partition still grants
 	// the whole limit until it misses the reports of this side.
-	uncertainShare = 0.5
+	uncertainShare = 0.75
 	uncertainTime  = 1500 * time.Millisecond
 )
 
@@ -257,6 +257,7 @@
 	for i := range r.quotas.groups {
 		g := &r.quotas.groups[i]
 		if len(g.waiting) > 0 && !r.now.Before(g.waiting[0].quotaDeadline) {
+			r.quotaHolderFailed(g)
 			r.quotaHolderLost(g)
 			r.endQuotaWait(g, func(c *call) bool { return !r.now.Before(c.quotaDeadline) }, r.admitByShare)
 		}
--- a/internal/decision/reducer/quotaholder.go
+++ b/internal/decision/reducer/quotaholder.go
@@ -19,6 +19,9 @@
 	// regionSilence is the time without a report from any node of another region after which a
 	// holder counts none of them. Each of them sends a report every second.
 	regionSilence = 1200 * time.Millisecond
+	// failedSilence is the time without a report after which a peer of another region is gone if a
+	// request for tokens to it failed, too. A holder's reports reach other regions every second.
+	failedSilence = 1500 * time.Millisecond
 	// freezeThreshold is the gap in this process's time above which it takes itself for frozen. It is
 	// shorter than the time in which another node becomes the holder and may grant (1.8 s after the
 	// last report at the soonest), and longer than usual delays of a report.
@@ -81,11 +84,16 @@
 		return
 	}
 	first := g.holder.IsZero()
+	wait := r.quotaSilence()
+	if !first && r.quotaHolderGone(g.holder) {
+		// Entries have missed it for nearly as long as this node.
+		wait = heartbeatPeriod
+	}
 	g.holder = holder
 	g.request = nil
 	g.grantFrom = time.Time{}
 	if holder == r.selfID() {
-		g.grantFrom = r.now.Add(r.quotaSilence())
+		g.grantFrom = r.now.Add(wait)
 	}
 	r.emptyQuotaBuckets(g)
 	r.reportQuotaHolders()
@@ -97,6 +105,16 @@
 	}
 }
 
+// quotaHolderGone reports whether a former holder ended, leaves, or has been silent until it takes
+// itself for cut off from this node.
+func (r *Reducer) quotaHolderGone(former NodeID) bool {
+	if former == r.selfID() {
+		return false
+	}
+	p := r.members.byIncarnation[former.Incarnation()]
+	return p == nil || p.member.Leaving() || !r.quotaLive(p, r.quotaSilence())
+}
+
 func (r *Reducer) emptyQuotaBuckets(g *quotaGroup) {
 	for _, q := range g.tenants {
 		q.bucket = nil
@@ -116,7 +134,7 @@
 }
 
 // quotaLive reports whether a peer reported within nearLimit, or within maxSilenceOtherRegion if it is
-// in another region. Its answers to requests for tokens count as reports.
+// in another region and has not failed to answer a request for tokens. Its answers count as reports.
 func (r *Reducer) quotaLive(p *peer, nearLimit time.Duration) bool {
 	if r.Settings.ReportNear <= 0 {
 		return true
@@ -125,10 +143,14 @@
 	if p.quotaAnsweredAt.After(last) {
 		last = p.quotaAnsweredAt
 	}
+	limit := nearLimit
 	if p.tier == tierOtherRegion {
-		return r.now.Sub(last) < maxSilenceOtherRegion
+		limit = maxSilenceOtherRegion
+		if !p.quotaFailedAt.IsZero() && r.now.Sub(p.quotaFailedAt) < maxSilenceOtherRegion {
+			limit = failedSilence
+		}
 	}
-	return r.now.Sub(last) < nearLimit
+	return r.now.Sub(last) < limit
 }
 
 // quotaHolderMark returns the mark of a holder, which is not zero. Two holders may have the same mark:
--- a/internal/decision/reducer/quotarequest.go
+++ b/internal/decision/reducer/quotarequest.go
@@ -53,6 +53,9 @@
 
 // quotaRequestFailed handles a request that its holder did not answer.
 func (r *Reducer) quotaRequestFailed(e QuotaRequestFailed) {
+	if g := r.quotaGroupOf(e.Request); g != nil {
+		r.quotaHolderFailed(g)
+	}
 	r.quotaAnswered(QuotaAnswered{Request: e.Request})
 }
 
@@ -76,6 +79,7 @@
 	}
 	if p := r.members.byIncarnation[g.holder.Incarnation()]; p != nil {
 		p.quotaAnsweredAt = r.now
+		p.quotaFailedAt = time.Time{}
 	}
 	granted := map[string]int{}
 	for _, t := range e.Granted {
@@ -117,6 +121,13 @@
 	})
 }
 
+// quotaHolderFailed notes that a group's holder did not answer.
+func (r *Reducer) quotaHolderFailed(g *quotaGroup) {
+	if p := r.members.byIncarnation[g.holder.Incarnation()]; p != nil {
+		p.quotaFailedAt = r.now
+	}
+}
+
 // quotaHolderLost notes that a group's holder does not grant.
 func (r *Reducer) quotaHolderLost(g *quotaGroup) {
 	if g.lostSince.IsZero() {
--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -168,10 +168,11 @@
 
 // quotas reads the bounds of tenants' quotas, which are off where the section is absent.
 func (r *reader) quotas(s *reducer.Settings) {
+	on := r.file.HasSection("quotas") // Looking up a key adds its section.
 	window := r.duration("quotas", "window", defaultQuotaWindow, time.Second, time.Hour)
 	s.QuotaOverage = r.share("quotas", "overage", defaultQuotaOverage)
 	s.QuotaSlack = r.number("quotas", "slack", defaultQuotaSlack, 0, 1e6)
-	if r.file.HasSection("quotas") {
+	if on {
 		s.QuotaWindow = window
 	}
 }
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -40,6 +40,19 @@
 	c.Assert(node.Decisions.SharedRetries, qt.Equals, 157)
 }
 
+// TestQuotasAreOnOnlyWithTheirSection guards against quotas in deployments that have none.
+func TestQuotasAreOnOnlyWithTheirSection(t *testing.T) {
+	c := qt.New(t)
+	node, err := Parse([]byte(good))
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.Decisions.QuotaWindow, qt.Equals, time.Duration(0))
+	node, err = Parse([]byte(good + "[quotas]\noverage = 0.2\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.Decisions.QuotaWindow, qt.Equals, 5*time.Second)
+	c.Assert(node.Decisions.QuotaOverage, qt.Equals, 0.2)
+	c.Assert(node.Decisions.QuotaSlack, qt.Equals, 20.0)
+}
+
 func TestParseReportsEveryProblem(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -54,6 +67,7 @@
 		{name: "out of range", text: good + "[routing]\nsample = 0\nmax_ejected_share = 1\n", section: "routing", keys: []string{"sample", "max_ejected_share"}},
 		{name: "no such policy", text: good + "[routing]\npolicy = best\n", section: "routing", keys: []string{"policy"}},
 		{name: "host name for a seed", text: good + "[peers]\nseeds = 127.0.0.1:1, node-2:9001\n", section: "peers", keys: []string{"seeds"}},
+		{name: "quotas out of range", text: good + "[quotas]\nwindow = 1ms\noverage = 1\nslack = -1\n", section: "quotas", keys: []string{"window", "overage", "slack"}},
 		{name: "half of TLS", text: good + "[tls]\ncertificate = /absent/cert.pem\n", section: "tls", keys: []string{"certificate"}},
 	}
 	for _, test := range tests {
