End the wait for tokens when quotas are switched off

Cause: calls that waited while a changed settings file switched quotas off stayed until their deadline. A holder assumed reports from other regions every second whatever reports.far says.

Change: the next tick sends such calls on; the silence of a region is reports.far + 0.2 s.

--- a/internal/decision/reducer/quota.go
+++ b/internal/decision/reducer/quota.go
@@ -251,6 +251,12 @@
 // quotaTick works out the holders and ends waits that are too long.
 func (r *Reducer) quotaTick() {
 	if !r.quotasOn() {
+		// Calls may still wait if the settings have just changed.
+		for i := range r.quotas.groups {
+			if len(r.quotas.groups[i].waiting) > 0 {
+				r.endQuotaWait(&r.quotas.groups[i], func(*call) bool { return true }, r.dispatch)
+			}
+		}
 		return
 	}
 	r.refreshQuotaHolders()
--- a/internal/decision/reducer/quotaholder.go
+++ b/internal/decision/reducer/quotaholder.go
@@ -16,9 +16,9 @@
 	// every 400 ms.
 	isolationSilence    = 500 * time.Millisecond
 	minIsolationMembers = 4
-	// regionSilence is the time without a report from any node of another region after which a
-	// holder counts none of them. Each of them sends a report every second.
-	regionSilence = 1200 * time.Millisecond
+	// regionSilenceMargin is added to ReportFar, in which each node of another region sends a report,
+	// for the time after which a holder counts no node of a region from which it heard none.
+	regionSilenceMargin = 200 * time.Millisecond
 	// failedSilence is the time without a report after which a peer of another region is gone if a
 	// request for tokens to it failed, too. A holder's reports reach other regions every second.
 	failedSilence = 1500 * time.Millisecond
@@ -263,7 +263,7 @@
 	}
 	return func(p *peer) bool {
 		return r.quotaLive(p, nearLimit) &&
-			(p.near() || r.now.Sub(regions[p.member.Region()]) < regionSilence)
+			(p.near() || r.now.Sub(regions[p.member.Region()]) < r.Settings.ReportFar+regionSilenceMargin)
 	}
 }
 
--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -107,6 +107,12 @@
 			n.advance(maxQuotaWait)
 			mustReject(c, n.step(Tick{}))
 		},
+		"quotas switched off": func(n *routedNode) {
+			settings := n.Settings
+			settings.QuotaWindow = 0
+			n.step(SettingsChanged{Settings: settings})
+			c.Check(sentAttempts(n.step(Tick{})), qt.HasLen, 1)
+		},
 	} {
 		n, _ := newQuotaEntry(c)
 		c.Assert(quotaRequests(n.quotaCall()), qt.HasLen, 1, qt.Commentf(name))
