Ask for fewer tokens where they expire unused

Cause: entries expected as many calls as were refused before, but callers whose calls are admitted come back later.

Change: an entry asks for less when tokens have expired since its last grant.

--- a/internal/decision/quota/lease.go
+++ b/internal/decision/quota/lease.go
@@ -20,6 +20,11 @@
 	minAskInterval  = 50 * time.Millisecond
 	maxAskInterval  = time.Second
 	askIntervalStep = 1.5
+	// maxCaution bounds caution. It grows by cautionStep with a grant before which tokens expired, and
+	// otherwise shrinks by the factor cautionDecay.
+	maxCaution   = 0.8
+	cautionStep  = 0.2
+	cautionDecay = 0.9
 	// aheadInterval bounds how often tokens are asked for ahead, and scarceInterval how often after
 	// the holder had too few of them.
 	aheadInterval  = 50 * time.Millisecond
@@ -39,6 +44,11 @@
 	// askAt is when the holder may be asked again after it granted less than was asked for.
 	askAt    time.Time
 	interval time.Duration
+	// caution is the part of the expected calls for which no tokens are asked for, because callers
+	// whose calls are admitted send fewer than those that are refused. expired counts the tokens that
+	// expired since the last grant.
+	caution float64
+	expired int
 	// aheadAt is when tokens for later calls may be asked for again.
 	aheadAt time.Time
 }
@@ -95,8 +105,12 @@
 func (l *Lease) expire(now time.Time) {
 	kept := l.lots[:0]
 	for _, lot := range l.lots {
-		if lot.tokens > 0 && now.Before(lot.expires) {
+		switch {
+		case lot.tokens <= 0:
+		case now.Before(lot.expires):
 			kept = append(kept, lot)
+		default:
+			l.expired += lot.tokens
 		}
 	}
 	l.lots = kept
@@ -125,7 +139,7 @@
 	}
 	w := Want{Demand: waiting, Held: held}
 	if waiting > 0 && held == 0 {
-		w.Demand += int(demand * expectedTime.Seconds())
+		w.Demand += int(demand * expectedTime.Seconds() * (1 - l.caution))
 	}
 	w.Demand = min(w.Demand, maxAsk)
 	w.Ahead = min(max(0, target-held-(w.Demand-waiting)), maxAsk)
@@ -136,6 +150,13 @@
 // no longer wait gave up, and their tokens are dropped: the bounds don't provide for saving them.
 // The spread, from 0 to 1, is random.
 func (l *Lease) Granted(now, sent time.Time, want Want, granted, gaveUp int, limit Limit, bounds Bounds, spread float64) {
+	l.expire(now)
+	if l.expired > 0 {
+		l.caution = min(maxCaution, l.caution+cautionStep)
+	} else {
+		l.caution *= cautionDecay
+	}
+	l.expired = 0
 	onDemand := min(granted, want.Demand)
 	l.add(max(0, onDemand-gaveUp), sent.Add(DemandLifetime))
 	l.add(granted-onDemand, sent.Add(AheadLifetime))
--- a/internal/decision/quota/lease_test.go
+++ b/internal/decision/quota/lease_test.go
@@ -54,3 +54,23 @@
 		c.Assert(l.Want(now, 0).Ahead > 0, qt.Equals, test.ahead, qt.Commentf("%v", test.interval))
 	}
 }
+
+// Callers whose calls are admitted come back later than those that are refused, so an entry that counted
+// the refused ones would let the tokens expire that other entries lack.
+func TestExpiredTokensMakeAnEntryAskForLess(t *testing.T) {
+	c := qt.New(t)
+	var l Lease
+	now := start
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		l.Arrived(now)
+	}
+	first := l.Want(now, 1)
+	for range 5 {
+		w := l.Want(now, 1)
+		l.Granted(now, now, w, w.Demand, 0, Limit{Rate: 100}, bounds, 0)
+		now = now.Add(DemandLifetime)
+	}
+	l.Arrived(now)
+	c.Assert(l.Want(now, 1).Demand <= first.Demand/2, qt.IsTrue, qt.Commentf("%+v then %+v", first, l.Want(now, 1)))
+}
