--- a/internal/decision/quota/bucket_test.go
+++ b/internal/decision/quota/bucket_test.go
@@ -105,3 +105,18 @@
 		}
 	})
 }
+
+// Tokens that entries ask for ahead, keep for a second and then spend together must not exceed the bound.
+func TestTokensAheadAreBounded(t *testing.T) {
+	limit := Limit{Rate: 400}
+	b := NewBucket(start)
+	saved, spent := 0, 0
+	for ms := 100; ms < 1000; ms += 50 {
+		saved += b.Grant(start.Add(time.Duration(ms)*time.Millisecond), limit, bounds, uint64(ms), Want{Ahead: 1000})
+	}
+	for ms := 1000; ms < 6000; ms += 50 {
+		spent += b.Grant(start.Add(time.Duration(ms)*time.Millisecond), limit, bounds, 1, Want{Demand: 1000})
+	}
+	qt.Check(t, float64(saved) <= bounds.ahead(limit), qt.IsTrue, qt.Commentf("%d", saved))
+	qt.Check(t, float64(saved+spent) <= bounds.Most(limit), qt.IsTrue, qt.Commentf("%d and %d", saved, spent))
+}
--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -251,3 +251,16 @@
 		c.Assert(ask().Granted[0].Tokens, qt.Equals, 1)
 	}
 }
+
+// Tokens for calls that no longer wait must not be saved, because the bound does not provide for them.
+func TestTokensOfCallsThatGaveUpAreDropped(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	request := quotaRequests(n.quotaCall())[0]
+	n.advance(maxQuotaWait)
+	mustReject(c, n.step(Tick{}))
+	n.grant(request, 1)
+	effects := n.quotaCall()
+	c.Assert(sentAttempts(effects), qt.HasLen, 0)
+	c.Assert(quotaRequests(effects), qt.HasLen, 1)
+}
