--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -15,6 +15,9 @@
 	DecisionAttemptSettled DecisionKind = "attempt-settled"
 	DecisionCallRejected   DecisionKind = "call-rejected"
 	DecisionCallerLeft     DecisionKind = "caller-left"
+	// DecisionQuotaAdmitted reports a call that waited for a token of its tenant's quota, or that
+	// was admitted by the entry's fixed share.
+	DecisionQuotaAdmitted DecisionKind = "quota-admitted"
 )
 
 // The decisions of the guard role about an attempt.
@@ -45,6 +48,10 @@
 	// DecisionWarmupQueried reports the end of the query how long the upstream stays cold: Reason is
 	// "answered" or "no-answer".
 	DecisionWarmupQueried DecisionKind = "warmup-queried"
+	// DecisionQuotaHolderChanged reports a new holder of a group of tenants' quotas, and
+	// DecisionQuotaHolderLost a holder that does not grant.
+	DecisionQuotaHolderChanged DecisionKind = "quota-holder-changed"
+	DecisionQuotaHolderLost    DecisionKind = "quota-holder-lost"
 )
 
 // Decision reports a decision and its inputs to operators. Fields that don't apply to the
@@ -102,7 +109,8 @@
 func (d Decision) TouchesRequest() bool {
 	switch d.Kind {
 	case DecisionPlanActivated, DecisionUpstreamChanged, DecisionMemberChanged, DecisionRequestSuspected,
-		DecisionEvacuationBegun, DecisionEvacuationEnded, DecisionUpstreamCold, DecisionUpstreamWarm, DecisionWarmupQueried:
+		DecisionEvacuationBegun, DecisionEvacuationEnded, DecisionUpstreamCold, DecisionUpstreamWarm, DecisionWarmupQueried,
+		DecisionQuotaHolderChanged, DecisionQuotaHolderLost:
 		return false
 	default:
 		return true
--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -59,6 +59,15 @@
 	announcedLeaving bool
 	// plansReachable reports whether the peer can reach the plan store.
 	plansReachable bool
+	// quotaAnsweredAt is when the peer last answered a request for tokens, and quotaHolders holds the
+	// marks of the holders that its entry uses, a byte for each group of tenants.
+	quotaAnsweredAt time.Time
+	// quotaFailedAt is when the peer last failed to answer such a request, or zero since an answer.
+	quotaFailedAt time.Time
+	quotaHolders  uint64
+	// uptimeAhead is how far the peer's uptime was ahead of this process's at uptimeNotedAt.
+	uptimeAhead   time.Duration
+	uptimeNotedAt time.Time
 	// excluded reports whether the plan excludes the upstream from new work.
 	excluded bool
 	// evacuated reports whether the plan evacuates the upstream's availability zone.
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -60,6 +60,9 @@
 	planInForceIndex planIndex
 	// tenants holds the tenants of the plan in force.
 	tenants tenantTable
+	quotas  quotas
+	// membersWereListed is set once a directory's members were listed.
+	membersWereListed bool
 
 	calls map[CallID]*call
 	// callsAwaitingTable holds the keyed calls that wait for a home table of their service.
@@ -128,6 +131,8 @@
 		r.stepEntry(e)
 	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded, WarmupAnswered:
 		r.stepGuard(e)
+	case QuotaAnswered, QuotaRequestFailed, QuotaRequested:
+		r.stepQuota(e)
 	default:
 		r.stepMember(e)
 	}
@@ -222,6 +227,17 @@
 	}
 }
 
+func (r *Reducer) stepQuota(event Event) {
+	switch e := event.(type) {
+	case QuotaAnswered:
+		r.quotaAnswered(e)
+	case QuotaRequestFailed:
+		r.quotaRequestFailed(e)
+	case QuotaRequested:
+		r.quotaRequested(e)
+	}
+}
+
 func (r *Reducer) stepMember(event Event) {
 	switch e := event.(type) {
 	case RecordRead:
@@ -280,6 +296,7 @@
 	r.queryWarmup()
 	r.noteColdness()
 	r.startWork()
+	r.quotaTick()
 	r.report()
 	if r.stopping {
 		r.stopAdmission()
@@ -326,6 +343,7 @@
 	}
 	r.routes.setRoutes(plan.spec.Routes)
 	r.tenants = newTenantTable(plan.spec.Tenants)
+	r.quotaPlanChanged()
 	r.reportSoon()
 	r.members.evacuatedZones = plan.spec.EvacuatedZones
 	r.members.rebuildServices(r.planInForceIndex)
--- a/internal/mesh/node/reload.go
+++ b/internal/mesh/node/reload.go
@@ -55,7 +55,7 @@
 // reload puts the file's limits and intervals in force. A file with a fault changes
 // nothing, and an address that changed takes a restart.
 func (n *Node) reload() {
-	loaded, err := settings.Load(n.SettingsFile)
+	loaded, err := settings.LoadWith(n.SettingsFile, n.SettingsOverrides)
 	if err != nil {
 		n.Logger.Warn().Str("event", "reload-refused").Str("file", n.SettingsFile).Err(err).Msgs()
 		return
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -20,6 +20,8 @@
 type nodeCommand struct {
 	sub    *flaggy.Subcommand
 	config string
+	// overrides replace settings of the file, each as section.key=value.
+	overrides []string
 	// adapter makes the adapter for a node's platform.
 	adapter AdapterFactory
 }
@@ -38,6 +40,7 @@
 	c.sub = flaggy.NewSubcommand("node")
 	c.sub.Description = "Run the process beside an upstream; SIGTERM stops it gracefully."
 	c.sub.String(&c.config, "c", "config", "The settings file.")
+	c.sub.StringSlice(&c.overrides, "s", "set", "A setting that replaces the file's, as section.key=value; may be repeated.")
 	return c.sub
 }
 
@@ -50,7 +53,7 @@
 	if c.config == "" {
 		return UsageError{Remedy: "node: name the settings file with --config FILE, or in " + settingsVariable + ""}
 	}
-	loaded, err := settings.Load(c.config)
+	loaded, err := settings.LoadWith(c.config, c.overrides)
 	if err != nil {
 		return err
 	}
@@ -60,7 +63,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	n := &node.Node{Settings: loaded, SettingsFile: c.config, Reload: reload, Logger: newLogger(stdout)}
+	n := &node.Node{Settings: loaded, SettingsFile: c.config, SettingsOverrides: c.overrides, Reload: reload, Logger: newLogger(stdout)}
 	if loaded.Adapter {
 		n.Adapter = c.adapter(loaded)
 	}
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -97,7 +97,12 @@
 
 // Load reads and checks a settings file. It returns Problems with every fault,
 // or another error when the file can't be read.
-func Load(path string) (Node, error) {
+func Load(path string) (Node, error) { return LoadWith(path, nil) }
+
+// LoadWith reads and checks a settings file with overrides of the form section.key=value, which
+// replace what the file says. An override with an empty value is ignored, so that a deployment may
+// fill in a value that it doesn't have.
+func LoadWith(path string, overrides []string) (Node, error) {
 	if _, err := os.Stat(path); err != nil {
 		return Node{}, oops.Wrapf(err, "settings file %s; name a file that this user can read", path)
 	}
@@ -105,9 +110,27 @@
 	if err != nil {
 		return Node{}, Problems{{File: path, Section: ini.DefaultSection, Key: "syntax", Remedy: err.Error() + "; write key = value lines below [section] lines"}}
 	}
+	if err := override(file, overrides); err != nil {
+		return Node{}, err
+	}
 	return read(path, file)
 }
 
+// override sets the values of overrides in file.
+func override(file *ini.File, overrides []string) error {
+	for _, text := range overrides {
+		name, value, found := strings.Cut(text, "=")
+		section, key, named := strings.Cut(name, ".")
+		if !found || !named || section == "" || key == "" {
+			return Problems{{File: "command line", Section: section, Key: key, Remedy: fmt.Sprintf("%q: write section.key=value", text)}}
+		}
+		if value != "" {
+			file.Section(section).Key(key).SetValue(value)
+		}
+	}
+	return nil
+}
+
 // Parse reads and checks settings given as text.
 func Parse(data []byte) (Node, error) {
 	const path = "(text)"
@@ -202,6 +225,7 @@
 	s.ProbeBytesBudget = r.integer("probes", "bytes_per_second", s.ProbeBytesBudget, 0, 1<<20)
 	s.Quarantine = r.duration("quarantine", "time", s.Quarantine, time.Second, 24*time.Hour)
 	s.Objective = r.share("burn", "objective", s.Objective)
+	r.quotas(&s)
 	s.StopAllowance = r.duration("stop", "allowance", s.StopAllowance, time.Second, 24*time.Hour)
 	return s
 }
