Run pipelined requests of callers at the same time where answers are whole

Cause: the callers' listener served pipelined requests one after the other.

Change: with an adapter, whose answers are whole before they are written, the callers' listener uses the package pipeline. A request runs ahead if its route is idempotent in the plan in force (Reducer.RouteIdempotent). The settings [limits] pipelined_requests (8) and pipelined_bytes (262144) bound a connection. A stopping node answers what such a connection has read and waits for it.

--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -116,6 +116,13 @@
 	return nil
 }
 
+// RouteIdempotent reports whether the plan in force has a route for the path on the host that lets
+// a request run more than once.
+func (r *Reducer) RouteIdempotent(host, path string) bool {
+	found := r.routes.find(host, path)
+	return found != nil && found.route.Idempotent
+}
+
 // nextService returns the service for the route's next request, or an empty string if all
 // weights are zero. Smooth weighted round robin distributes even a few requests by weight.
 func (i *indexedRoute) nextService() string {
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/pipeline"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
@@ -90,7 +91,7 @@
 }
 
 func (e *Entry) serve(w http.ResponseWriter, req *http.Request, forwarded bool) {
-	if e.Stopping() {
+	if e.Stopping() && !pipeline.ClosesOnStop(w) {
 		w.Header().Set("Connection", "close")
 	}
 	arrived, err := e.Protocol.ParseRequest(req)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
 	"github.com/tanagerline/tanagerline/internal/edge/caller"
+	"github.com/tanagerline/tanagerline/internal/edge/pipeline"
 	"github.com/tanagerline/tanagerline/internal/edge/upstream"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 	"github.com/tanagerline/tanagerline/internal/operator/console"
@@ -58,9 +59,13 @@
 	telling  atomic.Int64
 	control  peer.ByteCounter
 	servers  []*http.Server
-	unused   unusedConnections
-	failures chan error
-	work     sync.WaitGroup
+	// pipelines is nil if pipelined requests run one after the other.
+	pipelines *pipeline.Pipelines
+	// takeoverLogged is the second, in Unix time, of the last line about pipelined requests.
+	takeoverLogged atomic.Int64
+	unused         unusedConnections
+	failures       chan error
+	work           sync.WaitGroup
 }
 
 // Run serves until ctx ends, then stops gracefully: it takes no new work, hands
@@ -228,7 +233,7 @@
 		handler http.Handler
 		tls     *tls.Config
 	}{
-		{n.Settings.Listen.Callers, n.entry.Handler(), nil},
+		{n.Settings.Listen.Callers, n.callersHandler(), nil},
 		{n.Settings.Listen.Peers, peers.Handler(), serverTLS},
 		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
 		{n.Settings.Listen.Upstream, n.announcements(), nil},
@@ -284,6 +289,10 @@
 		IdleTimeout: n.Settings.Limits.IdleTime, MaxHeaderBytes: n.Settings.Limits.HeaderBytes,
 		ErrorLog: n.Logger.Std("", 0), ConnState: n.unused.note,
 	}
+	if pipelines, ok := handler.(*pipeline.Pipelines); ok {
+		listener = pipelines.Listener(listener)
+		server.ConnContext = pipelines.ConnContext
+	}
 	n.servers = append(n.servers, server)
 	n.work.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -298,9 +307,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeAllowance)
 	defer cancel()
 	n.unused.closeAll()
+	ended := n.endPipelines(ctx)
 	for _, server := range n.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
 		}
 	}
+	<-ended
 }
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -49,6 +49,11 @@
 	// BodyBytes bounds the request bodies that are kept for another attempt; zero is a
 	// default.
 	BodyBytes int64
+	// PipelinedRequests bounds the unanswered requests of a caller's connection; below two,
+	// pipelined requests run one after the other.
+	PipelinedRequests int
+	// PipelinedBytes bounds the heads and waiting answers of a connection with pipelined requests.
+	PipelinedBytes int64
 }
 
 // Node holds the settings of one node.
@@ -147,6 +152,9 @@
 			BodyTime:       r.duration("limits", "body_time", 30*time.Second, 10*time.Millisecond, time.Hour),
 			MaxConnections: r.integer("limits", "connections", 4096, 1, 1<<20),
 			BodyBytes:      int64(r.integer("limits", "kept_body_bytes", 0, 0, 1<<30)),
+
+			PipelinedRequests: r.integer("limits", "pipelined_requests", 8, 0, 64),
+			PipelinedBytes:    int64(r.integer("limits", "pipelined_bytes", 256<<10, 1<<10, 64<<20)),
 		},
 		Decisions: r.decisions(),
 	}
