--- a/internal/edge/pipeline/answer.go
+++ b/internal/edge/pipeline/answer.go
@@ -92,6 +92,9 @@
 	}
 	a.c.held.Add(int64(len(p)))
 	a.held += int64(len(p))
+	if a.content == nil && a.declaredLength() <= a.c.maxBytes() {
+		a.content = make([]byte, 0, max(a.declaredLength(), int64(len(p))))
+	}
 	a.content = append(a.content, p...)
 	return len(p), nil
 }
--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// TestFlushedPartOfABrokenAnswerIsWritten guards against a refusal that the client never gets, because
+// the handler then ends the connection for the sake of the request's body.
+func TestFlushedPartOfABrokenAnswerIsWritten(t *testing.T) {
+	s := newSite(t, nil)
+	s.answer = func(w http.ResponseWriter, req *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	k := s.dial()
+	k.send(get("/a"), get("/b"))
+	s.await(s.started, "/a", "/b")
+	s.release("/a")
+	resp, err := http.ReadResponse(k.reader, nil)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(resp.Close, qt.IsTrue)
+	s.await(s.cancelled, "/b")
+	_ = k.closeWrite()
+	body, err := io.ReadAll(resp.Body)
+	s.c.Assert(string(body), qt.Equals, "part")
+	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
 // TestHeadsAreLimited guards against heads that fill the memory or keep a connection after it was
 // taken over, and against answers to them before those of earlier requests.
 func TestHeadsAreLimited(t *testing.T) {
