Test the bounds of pipelined connections more strictly

Cause: of 18 faults put in as a trial, the tests let pass: answers that don't wait at the bound of bytes, heads that don't count for it, heads and idle connections without a time limit, reading ahead without a limit, and a connection that is no longer watched behind a body in chunks.

Change: a test each, or a stricter check in the test that was to notice it.

--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -102,8 +102,8 @@
 				resp, _ := k.receive(http.MethodGet)
 				s.c.Assert(resp.StatusCode, qt.Equals, test.status)
 				s.c.Assert(resp.Close, qt.IsTrue)
+				_ = k.closeWrite()
 			}
-			_ = k.closeWrite()
 			k.expectEnd()
 			s.shutdown()
 		})
--- a/internal/edge/pipeline/pipelines_test.go
+++ b/internal/edge/pipeline/pipelines_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -47,6 +48,21 @@
 	})
 }
 
+// TestClientIsWatchedBehindABodyInChunks guards against a connection on which pipelined requests are no
+// longer noticed once a body of unknown length has passed.
+func TestClientIsWatchedBehindABodyInChunks(t *testing.T) {
+	s := newSite(t, nil)
+	k := s.dial()
+	s.release("/p")
+	k.send("POST /p HTTP/1.1\r\nHost: site\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n42\r\n0\r\n\r\n")
+	k.expect("/p42")
+	s.await(s.started, "/p")
+	k.send(get("/a"), get("/b"))
+	s.await(s.started, "/a", "/b")
+	s.release("/b", "/a")
+	k.expect("/a", "/b")
+}
+
 // TestRequestThatMustNotBeRepeatedRunsAlone guards against sending a request that must not be
 // repeated while the connection may still end before it.
 func TestRequestThatMustNotBeRepeatedRunsAlone(t *testing.T) {
@@ -161,12 +177,41 @@
 	s.release("/b")
 	s.await(written, "/b")
 	s.release("/a")
-	s.await(written, "/a", "/a", "/b")
+	// The answer to /b exceeds the bound, so it is finished only when it is the first one.
+	for _, path := range []string{"/a", "/a", "/b"} {
+		s.await(written, path)
+	}
 	k.expect(content+content, content+content)
 	s.release("/c")
 	k.expect(content + content)
 }
 
+// TestHeadsAreBounded guards against heads that fill the memory behind a slow request.
+func TestHeadsAreBounded(t *testing.T) {
+	s := newSite(t, func(p *Pipelines) { p.MaxBytes = 2000 })
+	k := s.dial()
+	k.send(get("/a"), "GET /b HTTP/1.1\r\nHost: site\r\nX: "+strings.Repeat("x", 3000)+"\r\n\r\n", get("/c"))
+	s.await(s.started, "/a", "/b")
+	s.release("/b", "/a")
+	s.await(s.started, "/c")
+	s.release("/c")
+	k.expect("/a", "/b", "/c")
+	s.c.Assert(s.most, qt.Equals, 2)
+}
+
+// TestReadingAheadIsBounded guards against a client that sends without end while its requests wait.
+func TestReadingAheadIsBounded(t *testing.T) {
+	s := newSite(t, func(p *Pipelines) { p.MaxRequests = 2 })
+	k := s.dial()
+	k.send(get("/a"), get("/b"))
+	s.await(s.started, "/a", "/b")
+	// More than what the sockets buffer.
+	text := strings.Repeat(get("/c"), 1<<20)
+	_ = k.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	n, _ := io.WriteString(k, text)
+	s.c.Assert(n < len(text), qt.IsTrue)
+}
+
 // TestStopFinishesWhatWasRead guards against a stop that breaks off requests, and against one
 // that waits for a connection forever.
 func TestStopFinishesWhatWasRead(t *testing.T) {
