Take a connection over by a copy of its first request

Cause: the takeover asks for the request's route while its handler runs. A handler that changes the request's headers, as removing an access key does, would then be a concurrent use of a map, which ends the process.

Change: the takeover gets a copy of the request. The handler of the tests changes its request's headers.

Result: go test -race -count=3 ./internal/edge/pipeline and ./platform (without the soak) pass.

--- a/internal/edge/pipeline/harness_test.go
+++ b/internal/edge/pipeline/harness_test.go
@@ -74,6 +74,8 @@
 	s.count(1, s.alone(req), path)
 	defer s.count(-1, false, path)
 	body, _ := io.ReadAll(req.Body)
+	// A handler may change its request while the connection is taken over.
+	req.Header.Set("Seen", path)
 	s.started <- path
 	select {
 	case <-s.gate(path):
--- a/internal/edge/pipeline/pipelines.go
+++ b/internal/edge/pipeline/pipelines.go
@@ -70,8 +70,8 @@
 	}
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
-	s := &switchWriter{ResponseWriter: w, req: req.WithContext(ctx), cancel: cancel}
-	// Serves only this connection's takeover; a panic in it would otherwise be lost.
+	// The takeover may look at the request while the handler changes its headers.
+	s := &switchWriter{ResponseWriter: w, req: req.Clone(ctx), cancel: cancel}
 	takeOver := func() { p.takeOver(s, conn) }
 	if conn.watch(func() { go takeOver() }) {
 		takeOver()
@@ -81,7 +81,7 @@
 		conn.unwatch()
 		s.finish(completed)
 	}()
-	p.Handler.ServeHTTP(s, s.req)
+	p.Handler.ServeHTTP(s, req.WithContext(ctx))
 	completed = true
 }
 
--- a/internal/edge/pipeline/switchwriter.go
+++ b/internal/edge/pipeline/switchwriter.go
@@ -11,7 +11,7 @@
 // answer of that connection from then on.
 type switchWriter struct {
 	http.ResponseWriter
-	// req is the request, cancel cancels its context.
+	// req is a copy of the request, cancel cancels its context.
 	req    *http.Request
 	cancel context.CancelFunc
 
