Bound the memory and the connections that clients use

Cause: nothing bounded the sum of what clients make a node hold. A kept body's announced length was allocated at once, bodies in chunks and control messages were collected in buffers that double, one deadline held for a whole body, each listener took `connections`, and the plan's limits on heads and idle time were not applied.

Change: one budget of a quarter of the new setting [limits] memory_mb, from which bodies and heads draw as they arrive (internal/edge/budget), with shares for callers, addresses and connections; the client with the least progress for its bytes is ended first. Kept bodies must arrive at 256 bytes a second, counted over body_time, in place of one deadline. [limits] descriptors bounds the connections of each listener, and those that stand still make way. Heads over the plan's limit get 431; the plan's header and idle time apply. A body in chunks that is streamed ends at the plan's limit, too. The runtime keeps to 0.7 of memory_mb. Without the settings, only the plan's limits on callers are new, and buffers that grow with what arrives. netutil's LimitListener is no longer used.

--- a/internal/edge/caller/body.go
+++ b/internal/edge/caller/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 )
 
 // defaultMaxBufferedBytes is the default size limit, in bytes, of a request body that is
@@ -44,6 +46,9 @@
 	bufferUnknownLength bool
 	// maxLength is the longest body that is accepted; zero means no limit.
 	maxLength int64
+	// account is drawn on by bodies that are buffered, and pace is required of them.
+	account *budget.Account
+	pace    budget.Pace
 }
 
 // newRequestBody buffers the body if the limits allow it; otherwise the body is streamed.
@@ -63,15 +68,27 @@
 	if req.ContentLength == 0 {
 		return b, nil
 	}
-	b.buffered = make([]byte, req.ContentLength)
-	_, err := io.ReadFull(req.Body, b.buffered)
+	var err error
+	b.buffered, err = limits.readAll(req.Body, req.ContentLength)
+	if err == nil && int64(len(b.buffered)) < req.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
 	return b, err
 }
 
+// readAll reads at most length bytes of a body as the limits require.
+func (l bodyLimits) readAll(body io.Reader, length int64) ([]byte, error) {
+	account := l.account
+	if account == nil {
+		account = new(budget.Account)
+	}
+	return account.ReadAll(body, length, &l.pace)
+}
+
 // bufferUpToLimit reads a body of unknown length up to maxBuffered. A longer body is
 // streamed, starting with the bytes already read.
 func (b *requestBody) bufferUpToLimit(limits bodyLimits) error {
-	prefix, err := io.ReadAll(io.LimitReader(b.stream, limits.maxBuffered+1))
+	prefix, err := limits.readAll(b.stream, limits.maxBuffered+1)
 	if err != nil {
 		return err
 	}
@@ -80,6 +97,9 @@
 	}
 	if int64(len(prefix)) > limits.maxBuffered {
 		b.stream = io.MultiReader(bytes.NewReader(prefix), b.stream)
+		if limits.maxLength > 0 {
+			b.stream = &boundedReader{reader: b.stream, left: limits.maxLength}
+		}
 		return nil
 	}
 	b.fullyBuffered = true
@@ -88,6 +108,24 @@
 	return nil
 }
 
+// boundedReader returns errBodyTooLong once more than left bytes were read.
+type boundedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read reads at most one byte more than is left.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if int64(len(p)) > r.left+1 {
+		p = p[:r.left+1]
+	}
+	n, err := r.reader.Read(p)
+	if r.left -= int64(n); r.left < 0 {
+		return 0, errBodyTooLong
+	}
+	return n, err
+}
+
 // newReader returns a reader of the body for the next attempt. Earlier readers of a streamed
 // body return errAttemptEnded from then on.
 func (b *requestBody) newReader() io.ReadCloser {
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
@@ -54,6 +55,9 @@
 	MaxBufferedBytes int64
 	// BodyReadTimeout is the timeout for reading a buffered body.
 	BodyReadTimeout time.Duration
+	// PaceBodies requires a buffered body to arrive at a least rate over each BodyReadTimeout,
+	// instead of within one.
+	PaceBodies bool
 	// Stopping reports whether the node is stopping, so that keep-alive connections are
 	// closed after their current request.
 	Stopping func() bool
@@ -103,18 +107,27 @@
 	defer requestBody.EndOrAbort()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.BodyReadTimeout))
-	body, err := newRequestBody(req, bodyLimits{
-		maxBuffered: e.MaxBufferedBytes, bufferUnknownLength: e.Protocol.BuffersAnswers(), maxLength: e.maxBodyBytes(),
-	})
+	account := budget.Open(req.Context())
+	defer account.Release()
+	limits := e.limits()
+	if !forwarded && limits.HeaderBytes > 0 && headBytes(req) > limits.HeaderBytes {
+		account.Refuse(budget.CauseLongHead)
+		e.refuse(w, req, ProblemHeadTooLong, "head: longer than the plan allows")
+		return
+	}
+	bodyLimits := bodyLimits{
+		maxBuffered: e.MaxBufferedBytes, bufferUnknownLength: e.Protocol.BuffersAnswers(), maxLength: limits.BodyBytes,
+		account: account,
+	}
+	if e.PaceBodies {
+		bodyLimits.pace = budget.Pace{Window: e.BodyReadTimeout, SetDeadline: controller.SetReadDeadline}
+	}
+	body, err := newRequestBody(req, bodyLimits)
 	if err != nil {
-		// The rest of the body is not read: the read deadline stays set, and the
-		// connection is closed.
-		w.Header().Set("Connection", "close")
-		problem := ProblemBadRequest
 		if errors.Is(err, errBodyTooLong) {
-			problem = ProblemBodyTooLong
+			account.Refuse(budget.CauseLongBody)
 		}
-		e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: problem}, "body: "+err.Error())
+		e.refuse(w, req, bodyProblem(err), "body: "+err.Error())
 		return
 	}
 	_ = controller.SetReadDeadline(time.Time{})
@@ -132,11 +145,45 @@
 	x.run(arrived)
 }
 
-// maxBodyBytes returns the plan's limit on request bodies, in bytes; zero means no limit.
-func (e *Entry) maxBodyBytes() int64 {
-	var limit int64
-	e.Loop.Inspect(func(r *reducer.Reducer) { limit = r.Plan().Spec().Limits.BodyBytes })
-	return limit
+// refuse answers a request that has not run and whose body is not read to its end: the read deadline
+// stays set, and the connection is closed.
+func (e *Entry) refuse(w http.ResponseWriter, req *http.Request, problem reducer.ProblemKind, detail string) {
+	w.Header().Set("Connection", "close")
+	e.Protocol.Reject(w, req, reducer.RejectCall{Outcome: reducer.OutcomeNotRun, Problem: problem}, detail)
+}
+
+// bodyProblem returns the problem of a body that could not be read.
+func bodyProblem(err error) reducer.ProblemKind {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return ProblemBodyTooLong
+	case errors.Is(err, budget.ErrShort):
+		return reducer.ProblemOverloaded
+	case errors.Is(err, budget.ErrTooSlow):
+		return ProblemBodyTooSlow
+	default:
+		return ProblemBadRequest
+	}
+}
+
+// limits returns the plan's limits on callers.
+func (e *Entry) limits() reducer.CallerLimits {
+	var limits reducer.CallerLimits
+	e.Loop.Inspect(func(r *reducer.Reducer) { limits = r.Plan().Spec().Limits })
+	return limits
+}
+
+// headBytes returns the length of a request's head in bytes, without what a client may add around
+// the values of headers.
+func headBytes(req *http.Request) int {
+	const lineEnd, separators = 2, 2
+	n := len(req.Method) + len(req.RequestURI) + len(req.Proto) + separators + lineEnd + len("Host:") + len(req.Host) + lineEnd
+	for name, values := range req.Header {
+		for _, value := range values {
+			n += len(name) + len(":") + len(value) + lineEnd
+		}
+	}
+	return n + lineEnd
 }
 
 // fingerprint returns a hash of the method, path, query, body length and, if buffered, the
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -33,6 +33,10 @@
 	ProblemBadRequest reducer.ProblemKind = "bad-request"
 	// ProblemBodyTooLong reports a request body that exceeds the plan's limit.
 	ProblemBodyTooLong reducer.ProblemKind = "body-too-long"
+	// ProblemBodyTooSlow reports a request body that arrives below the least rate.
+	ProblemBodyTooSlow reducer.ProblemKind = "body-too-slow"
+	// ProblemHeadTooLong reports a request whose head exceeds the plan's limit.
+	ProblemHeadTooLong reducer.ProblemKind = "head-too-long"
 )
 
 type problemText struct {
@@ -44,6 +48,8 @@
 var problemTexts = map[reducer.ProblemKind]problemText{
 	ProblemBadRequest:              {http.StatusBadRequest, "The request can't be read", "correct the named part and send the request again"},
 	ProblemBodyTooLong:             {http.StatusRequestEntityTooLarge, "The body is too long", "send a shorter body"},
+	ProblemBodyTooSlow:             {http.StatusRequestTimeout, "The body arrives too slowly", "send the body without pauses"},
+	ProblemHeadTooLong:             {http.StatusRequestHeaderFieldsTooLarge, "The head is too long", "send fewer or shorter headers"},
 	reducer.ProblemUnknownRoute:    {http.StatusNotFound, "The plan has no route for the path", "begin the path with the prefix of a route of the host"},
 	reducer.ProblemAnswerNotKept:   {http.StatusConflict, "The first answer is no longer kept", "read the state that the request was to change before sending it with a new key"},
 	reducer.ProblemDeadline:        {http.StatusGatewayTimeout, "The deadline passed", "send the request again with the same key, or allow more time in Tanagerline-Timeout"},
--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
@@ -151,7 +152,10 @@
 			if _, bodyRequested := effect.(reducer.RequestBody); !bodyRequested {
 				return effect
 			}
-			body = readBody(req)
+			account := budget.Open(req.Context())
+			// The body is kept until the attempt ends, and with it the context of the request.
+			context.AfterFunc(req.Context(), account.Release)
+			body = readBody(req, account)
 		case buffered := <-body:
 			if buffered == nil || !stillConnected(ctx) {
 				return g.withdraw(mailbox)
@@ -194,14 +198,14 @@
 	}
 }
 
-// readBody reads a request's body into memory in the background. The returned channel receives the
-// buffered body, or nil if reading it failed.
-func readBody(req *http.Request) <-chan io.ReadCloser {
+// readBody reads a request's body into memory, drawn from the account, in the background. The returned
+// channel receives the buffered body, or nil if reading it failed.
+func readBody(req *http.Request, account *budget.Account) <-chan io.ReadCloser {
 	result := make(chan io.ReadCloser, 1)
 	body, length := req.Body, req.ContentLength
 	go func() {
-		data := make([]byte, length)
-		if _, err := io.ReadFull(body, data); err != nil {
+		data, err := account.ReadAll(body, length, &budget.Pace{})
+		if err != nil || int64(len(data)) < length {
 			result <- nil
 			return
 		}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -13,11 +11,10 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/samber/oops"
-	"golang.org/x/net/netutil"
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 	"github.com/tanagerline/tanagerline/internal/edge/caller"
 	"github.com/tanagerline/tanagerline/internal/edge/upstream"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
@@ -54,6 +51,7 @@
 	appender *stream.Appender
 	reports  *peer.Reports
 	decided  *decisions
+	clients  *clients
 	stopping atomic.Bool
 	telling  atomic.Int64
 	control  peer.ByteCounter
@@ -103,6 +101,7 @@
 	incarnation := rand.Uint64()
 	n.failures = make(chan error, 8)
 	n.decided = newDecisions(n.Logger)
+	n.clients = newClients(n)
 	n.loop = &loop.Loop{
 		Clock:  loop.NewSteadyClock().Now,
 		Period: n.tickPeriod(),
@@ -125,8 +124,9 @@
 	n.guard.Prepare()
 	n.entry = &caller.Entry{
 		Loop: n.loop, Mesh: n.client, Guard: n.guard, Stopping: n.stopping.Load,
-		BodyReadTimeout: n.Settings.Limits.BodyTime, Protocol: n.Adapter.callerProtocol(n.loop.Clock), MaxBufferedBytes: n.Settings.Limits.BodyBytes,
-		Self: reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
+		BodyReadTimeout: n.Settings.Limits.BodyTime, Protocol: n.Adapter.callerProtocol(n.loop.Clock), MaxBufferedBytes: n.clients.keptBodyBytes(),
+		PaceBodies: n.clients.budget.Bounded(),
+		Self:       reducer.NewNodeID(n.Settings.Listen.PeersAnnounced, incarnation),
 	}
 	n.entry.Prepare()
 	n.reports = &peer.Reports{Loop: n.loop, Address: n.Settings.Listen.Peers, Logger: n.Logger}
@@ -141,6 +141,7 @@
 func (n *Node) background(ctx context.Context) {
 	n.work.Go(func() { n.loop.Run(ctx) })
 	n.work.Go(func() { n.watchSettings(ctx) })
+	n.work.Go(func() { n.clients.watchBudget(ctx) })
 	if n.Settings.Decisions.ReportNear > 0 {
 		n.work.Go(func() { n.reports.Run(ctx) })
 	}
@@ -221,25 +222,26 @@
 			return err
 		}
 	}
-	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded}
+	peers := &peer.Listener{Loop: n.loop, Guard: n.guard, Home: n.entry.ServeForwarded, LimitControl: n.clients.wholeBodies}
 	operators := &console.Server{Loop: n.loop, ControlBytes: n.control.Bytes, Registry: n.decided.registry}
 	listeners := []struct {
 		address string
+		class   budget.Class
 		handler http.Handler
 		tls     *tls.Config
 	}{
-		{n.Settings.Listen.Callers, n.entry.Handler(), nil},
-		{n.Settings.Listen.Peers, peers.Handler(), serverTLS},
-		{n.Settings.Listen.Operators, operators.Handler(), serverTLS},
-		{n.Settings.Listen.Upstream, n.announcements(), nil},
-		{n.Settings.Listen.Ready, n.readiness(operators), nil},
-		{n.Settings.Listen.Metrics, http.HandlerFunc(operators.WriteMetrics), nil},
+		{n.Settings.Listen.Callers, budget.Callers, n.entry.Handler(), nil},
+		{n.Settings.Listen.Peers, budget.Peers, peers.Handler(), serverTLS},
+		{n.Settings.Listen.Operators, budget.Others, n.clients.wholeBodies(operators.Handler()), serverTLS},
+		{n.Settings.Listen.Upstream, budget.Others, n.clients.wholeBodies(n.announcements()), nil},
+		{n.Settings.Listen.Ready, budget.Others, n.clients.wholeBodies(n.readiness(operators)), nil},
+		{n.Settings.Listen.Metrics, budget.Others, n.clients.wholeBodies(http.HandlerFunc(operators.WriteMetrics)), nil},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
 			continue
 		}
-		if err := n.serve(l.address, l.handler, l.tls); err != nil {
+		if err := n.serve(l.address, l.class, l.handler, l.tls); err != nil {
 			return err
 		}
 	}
@@ -270,29 +272,6 @@
 	return known && !n.stopping.Load()
 }
 
-func (n *Node) serve(address string, handler http.Handler, tlsConfig *tls.Config) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return oops.Wrapf(err, "listen on %s; free the address or change it in [listen]", address)
-	}
-	listener = netutil.LimitListener(listener, n.Settings.Limits.MaxConnections)
-	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: n.Settings.Limits.HeaderTime,
-		IdleTimeout: n.Settings.Limits.IdleTime, MaxHeaderBytes: n.Settings.Limits.HeaderBytes,
-		ErrorLog: n.Logger.Std("", 0), ConnState: n.unused.note,
-	}
-	n.servers = append(n.servers, server)
-	n.work.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			n.failures <- oops.Wrapf(err, "serve %s", address)
-		}
-	})
-	return nil
-}
-
 // close ends the listeners; calls in flight have ended by now.
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeAllowance)
--- a/internal/mesh/peer/listener.go
+++ b/internal/mesh/peer/listener.go
@@ -18,15 +18,21 @@
 	Guard http.RoundTripper
 	// Home answers calls as the home of their keys.
 	Home http.HandlerFunc
+	// LimitControl limits the bodies of control requests, which are read whole; nil sets no limit.
+	LimitControl func(http.Handler) http.Handler
 }
 
 // Handler returns the handler of the peers' listener.
 func (l *Listener) Handler() http.Handler {
-	control := NewPeerServer(&Server{Loop: l.Loop})
+	server := NewPeerServer(&Server{Loop: l.Loop})
+	var control http.Handler = server
+	if l.LimitControl != nil {
+		control = l.LimitControl(server)
+	}
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.MatcherFunc(hasHeader(HeaderTo)).HandlerFunc(l.runAttempt)
 	router.MatcherFunc(hasHeader(HeaderHome)).HandlerFunc(l.answerAsHome)
-	router.PathPrefix(control.PathPrefix()).Handler(control)
+	router.PathPrefix(server.PathPrefix()).Handler(control)
 	return router
 }
 
--- a/internal/mesh/peer/whole.go
+++ b/internal/mesh/peer/whole.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 )
 
 // MaxWholeAnswerBytes bounds an answer that is kept until it is complete.
@@ -34,16 +36,19 @@
 	return nil
 }
 
-// readUpTo reads a body to its end, or one byte more than MaxWholeAnswerBytes. A body of known
-// length gets a buffer of that size.
+// readUpTo reads a body to its end, or one byte more than MaxWholeAnswerBytes. The buffer
+// grows as bytes arrive, so that an announced length costs nothing.
 func readUpTo(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength < 0 {
 		return io.ReadAll(io.LimitReader(resp.Body, MaxWholeAnswerBytes+1))
 	}
-	body := make([]byte, resp.ContentLength)
-	if _, err := io.ReadFull(resp.Body, body); err != nil {
+	body, err := new(budget.Account).ReadAll(resp.Body, resp.ContentLength, &budget.Pace{})
+	if err != nil {
 		return nil, err
 	}
+	if int64(len(body)) < resp.ContentLength {
+		return nil, io.ErrUnexpectedEOF
+	}
 	// The body's end is known only once it was read: the connection is reused then.
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1))
 	if err != nil || n > 0 {
--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -153,6 +153,16 @@
 	return int(r.number(section, key, float64(otherwise), float64(least), float64(most)))
 }
 
+// wholePartOrZero is wholePart for a limit that zero, the default, turns off.
+func (r *reader) wholePartOrZero(section, key string, least, most int) int {
+	n := r.wholePart(section, key, 0, 0, most)
+	if n > 0 && n < least {
+		r.problem(section, key, fmt.Sprintf("%d is too few; give %d or more, or 0 for no bound", n, least))
+		return 0
+	}
+	return n
+}
+
 func (r *reader) share(section, key string, otherwise float64) float64 {
 	value := r.text(section, key)
 	if value == "" {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -49,6 +49,10 @@
 	// BodyBytes bounds the request bodies that are kept for another attempt; zero is a
 	// default.
 	BodyBytes int64
+	// MemoryBytes is the memory that the process may use, and Descriptors the number of its
+	// file descriptors; zero sets no bound on what clients use of them.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Node holds the settings of one node.
@@ -147,6 +151,8 @@
 			BodyTime:       r.duration("limits", "body_time", 30*time.Second, 10*time.Millisecond, time.Hour),
 			MaxConnections: r.integer("limits", "connections", 4096, 1, 1<<20),
 			BodyBytes:      int64(r.integer("limits", "kept_body_bytes", 0, 0, 1<<30)),
+			MemoryBytes:    int64(r.wholePartOrZero("limits", "memory_mb", leastMemoryMegabytes, 1<<20)) * bytesPerMegabyte,
+			Descriptors:    r.wholePartOrZero("limits", "descriptors", leastDescriptors, 1<<24),
 		},
 		Decisions: r.decisions(),
 	}
@@ -206,6 +212,15 @@
 	return s
 }
 
+const (
+	// leastMemoryMegabytes and leastDescriptors are what a node needs for itself, its peers and a
+	// few clients.
+	leastMemoryMegabytes = 32
+	leastDescriptors     = 64
+
+	bytesPerMegabyte = 1_000_000
+)
+
 // bytesPerMegabit is how links are measured: 10^6 bits.
 const bytesPerMegabit = 1e6 / 8
 
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -40,6 +40,20 @@
 	c.Assert(node.Decisions.SharedRetries, qt.Equals, 157)
 }
 
+// TestParseTakesTheMachinesMemoryAndDescriptors guards against limits that are on by default, and against
+// a node that does not start because the platform's figure is a fraction.
+func TestParseTakesTheMachinesMemoryAndDescriptors(t *testing.T) {
+	c := qt.New(t)
+	node, err := Parse([]byte(good))
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.Limits.MemoryBytes, qt.Equals, int64(0))
+	c.Assert(node.Limits.Descriptors, qt.Equals, 0)
+	node, err = Parse([]byte(good + "[limits]\nmemory_mb = 184.5\ndescriptors = 1024\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.Limits.MemoryBytes, qt.Equals, int64(184_000_000))
+	c.Assert(node.Limits.Descriptors, qt.Equals, 1024)
+}
+
 func TestParseReportsEveryProblem(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -54,6 +68,7 @@
 		{name: "out of range", text: good + "[routing]\nsample = 0\nmax_ejected_share = 1\n", section: "routing", keys: []string{"sample", "max_ejected_share"}},
 		{name: "no such policy", text: good + "[routing]\npolicy = best\n", section: "routing", keys: []string{"policy"}},
 		{name: "host name for a seed", text: good + "[peers]\nseeds = 127.0.0.1:1, node-2:9001\n", section: "peers", keys: []string{"seeds"}},
+		{name: "too little memory", text: good + "[limits]\nmemory_mb = 8\ndescriptors = -1\n", section: "limits", keys: []string{"memory_mb", "descriptors"}},
 		{name: "half of TLS", text: good + "[tls]\ncertificate = /absent/cert.pem\n", section: "tls", keys: []string{"certificate"}},
 	}
 	for _, test := range tests {
--- a/internal/proof/untrusted/crowd_test.go
+++ b/internal/proof/untrusted/crowd_test.go
@@ -28,7 +28,9 @@
 )
 
 // crowdLimits are the lowered limits of the node's settings.
-const crowdLimits = ``
+const crowdLimits = `memory_mb = 128
+descriptors = 256
+`
 
 // client is one client of a crowd: it writes to the connection and returns, after which the
 // connection stays open.
@@ -133,6 +135,20 @@
 	writeUntil(conn, bytes.Repeat([]byte("f"), 16<<10), endlessBytes)
 }
 
+// Guards against heads of very short lines, which cost many times their length in memory: each client stops
+// just under the limit of its head.
+func TestHeadsOfShortLinesStoppingShort(t *testing.T) {
+	p := startNode(t, crowdLimits)
+	var lines bytes.Buffer
+	for i := 0; lines.Len() < maxHeaderBytes-100; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	runCrowd(t, p, p.callers, func(conn net.Conn, number int) {
+		_, _ = io.WriteString(conn, fmt.Sprintf("GET /read/%d HTTP/1.1\r\nHost: %s\r\n", number, host))
+		_, _ = conn.Write(lines.Bytes())
+	})
+}
+
 // Guards against empty lines before a request that are read on for ever.
 func TestEmptyLinesWithoutEnd(t *testing.T) {
 	p := startNode(t, crowdLimits)
