Cover the small listeners, and end streamed bodies over the plan's limit

The listeners for the upstream, readiness and metrics had room for four connections each that could stand still for 500 ms, so that a heartbeat waited behind a crowd.

Change: the attempts of such a body are cancelled (502, it may have run). The small listeners get 1/32 of the descriptors, at least 8, and a connection that stands still for 100 ms makes way there; callers get 0.375 and peers 0.3, which leaves a fifth for outgoing connections. The plan's header and idle time are enforced with 1 s to spare, so that a client just within them is not refused. A crowd at the small listeners is tested.

--- a/internal/edge/budget/listener.go
+++ b/internal/edge/budget/listener.go
@@ -13,6 +13,10 @@
 	// long a connection may be idle then. A head of legal size is a few packets.
 	headGrace = 500 * time.Millisecond
 	idleGrace = 2 * time.Second
+	// nearHeadGrace is headGrace for clients of the class Others, which are on the same machine or send small
+	// requests now and then. Their listeners have few connections, and a heartbeat waits behind
+	// all that connected before it.
+	nearHeadGrace = 100 * time.Millisecond
 	// victimPeriod is how often a new connection that waits for room looks for one to close.
 	victimPeriod = 50 * time.Millisecond
 )
@@ -21,7 +25,8 @@
 type Limits struct {
 	// HeadTime bounds the time until a head is complete, and IdleTime that between two requests.
 	HeadTime, IdleTime time.Duration
-	// HeadBytes bounds the length of a head.
+	// HeadBytes bounds the length of a head. A longer one is answered in plain text, so the listener
+	// must not be below TLS.
 	HeadBytes int64
 }
 
@@ -171,10 +176,14 @@
 // standstill returns how the connection stands still. The budget's lock must be held.
 func (c *Conn) standstill(now time.Time) standstill {
 	passed := now.Sub(c.since)
+	grace := headGrace
+	if c.holder.class == Others {
+		grace = nearHeadGrace
+	}
 	switch {
-	case c.phase == phaseHead && passed > headGrace:
+	case c.phase == phaseHead && passed > grace:
 		return standstill{sendsHeadSlowly, passed}
-	case c.phase == phaseNew && passed > headGrace:
+	case c.phase == phaseNew && passed > grace:
 		return standstill{sendsNothing, passed}
 	case c.quiet() && passed > idleGrace:
 		return standstill{isIdle, passed}
--- a/internal/edge/caller/body.go
+++ b/internal/edge/caller/body.go
@@ -27,6 +27,8 @@
 	// current is the reader of the attempt in flight, the only one that may read the stream,
 	// or nil.
 	current *streamReader
+	// onAbort cancels the attempts when the body turns out to be too long, or is nil.
+	onAbort func()
 	// readStarted is set once an attempt began to read the stream.
 	readStarted bool
 }
@@ -98,7 +100,7 @@
 	if int64(len(prefix)) > limits.maxBuffered {
 		b.stream = io.MultiReader(bytes.NewReader(prefix), b.stream)
 		if limits.maxLength > 0 {
-			b.stream = &boundedReader{reader: b.stream, left: limits.maxLength}
+			b.stream = &boundedReader{reader: b.stream, left: limits.maxLength, exceeded: b.abort}
 		}
 		return nil
 	}
@@ -108,10 +110,11 @@
 	return nil
 }
 
-// boundedReader returns errBodyTooLong once more than left bytes were read.
+// boundedReader returns errBodyTooLong once more than left bytes were read, and calls exceeded.
 type boundedReader struct {
-	reader io.Reader
-	left   int64
+	reader   io.Reader
+	left     int64
+	exceeded func()
 }
 
 // Read reads at most one byte more than is left.
@@ -121,11 +124,30 @@
 	}
 	n, err := r.reader.Read(p)
 	if r.left -= int64(n); r.left < 0 {
+		r.exceeded()
 		return 0, errBodyTooLong
 	}
 	return n, err
 }
 
+// setAbort sets what cancels the attempts when the body turns out to be too long: an upstream waits for the
+// rest of a body that it never gets.
+func (b *requestBody) setAbort(cancel func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onAbort = cancel
+}
+
+// abort cancels the attempts.
+func (b *requestBody) abort() {
+	b.mu.Lock()
+	cancel := b.onAbort
+	b.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 // newReader returns a reader of the body for the next attempt. Earlier readers of a streamed
 // body return errAttemptEnded from then on.
 func (b *requestBody) newReader() io.ReadCloser {
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -44,6 +44,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.req.Context()))
 	defer cancel()
 	x.ctx = ctx
+	x.body.setAbort(cancel)
 	x.mailbox = x.entry.Loop.OpenCall(cancel)
 	defer x.entry.Loop.CloseCall(x.mailbox)
 	arrived.Call = x.mailbox.ID()
--- a/internal/mesh/node/clients.go
+++ b/internal/mesh/node/clients.go
@@ -28,10 +28,13 @@
 	// callersConnectionShare, peersConnectionShare and othersConnectionShare are the shares of the descriptors
 	// that connections to the callers' listener, the peers' and each other one can use. What is
 	// left is for connections to peers, to the upstream and to the store.
-	callersConnectionShare = 0.4
-	peersConnectionShare   = 0.35
-	othersConnectionShare  = 1.0 / 64
-	leastOthersConnections = 4
+	callersConnectionShare = 0.375
+	peersConnectionShare   = 0.3
+	othersConnectionShare  = 1.0 / 32
+	leastOthersConnections = 8
+	// timeoutMargin is added to the plan's time limits: what a client sends just within them is still on
+	// its way then, and the client counts from when it got the answer before.
+	timeoutMargin = time.Second
 	// clientLinesPerSecond and clientLineBurst bound the log lines about refused clients.
 	clientLinesPerSecond = 20
 	clientLineBurst      = 100
@@ -127,7 +130,8 @@
 	c.node.loop.Inspect(func(r *reducer.Reducer) { limits = r.Plan().Spec().Limits })
 	own := c.node.Settings.Limits
 	return budget.Limits{
-		HeadTime: cmp.Or(limits.HeaderTimeout, own.HeaderTime), IdleTime: cmp.Or(limits.IdleTimeout, own.IdleTime),
+		HeadTime:  cmp.Or(limits.HeaderTimeout, own.HeaderTime) + timeoutMargin,
+		IdleTime:  cmp.Or(limits.IdleTimeout, own.IdleTime) + timeoutMargin,
 		HeadBytes: int64(limits.HeaderBytes),
 	}
 }
--- a/internal/proof/untrusted/crowd_test.go
+++ b/internal/proof/untrusted/crowd_test.go
@@ -38,6 +38,13 @@
 
 // runCrowd connects a crowd to address. It checks the process while the crowd stays connected.
 func runCrowd(t *testing.T, p *process, address string, c client) {
+	runClients(t, address, c)
+	time.Sleep(lingerTime)
+	p.check()
+}
+
+// runClients connects a crowd to address and returns once it has sent; its connections stay.
+func runClients(t *testing.T, address string, c client) {
 	var sending sync.WaitGroup
 	var mu sync.Mutex
 	var conns []net.Conn
@@ -62,8 +69,6 @@
 		})
 	}
 	sending.Wait()
-	time.Sleep(lingerTime)
-	p.check()
 }
 
 // head returns the head of an upload with further header lines.
@@ -211,6 +216,26 @@
 	})
 }
 
+// Guards against crowds at the listeners for the upstream, for readiness and for metrics, which end the heartbeats
+// or use the descriptors of the callers.
+func TestOtherListeners(t *testing.T) {
+	p := startNode(t, crowdLimits)
+	var others sync.WaitGroup
+	defer others.Wait()
+	for _, address := range []string{p.ready, p.metrics} {
+		others.Go(func() { runClients(t, address, headOverTheLimit) })
+	}
+	runCrowd(t, p, p.control, func(conn net.Conn, number int) {
+		if number%2 == 0 {
+			headOverTheLimit(conn, number)
+			return
+		}
+		_, _ = io.WriteString(conn, fmt.Sprintf("POST /tanagerline/instances/%s/heartbeat HTTP/1.1\r\nHost: %s\r\n"+
+			"Content-Length: %d\r\n\r\n", instance, host, announcedBytes))
+		_, _ = conn.Write(bytes.Repeat([]byte("b"), announcedBytes-1))
+	})
+}
+
 // Guards against a stranger's heads at the peers' listener, which keeps connections that send nothing more.
 func TestPeersHeadsWithoutEnd(t *testing.T) {
 	p := startNode(t, crowdLimits)
--- a/internal/proof/untrusted/node_test.go
+++ b/internal/proof/untrusted/node_test.go
@@ -71,6 +71,7 @@
 	t        *testing.T
 	cmd      *exec.Cmd
 	callers  string
+	control  string
 	peers    string
 	ready    string
 	metrics  string
@@ -113,12 +114,11 @@
 func startNode(t *testing.T, moreLimits string) *process {
 	p := &process{
 		t: t, callers: freeAddress(t), peers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t),
-		exited: make(chan error, 1),
+		control: freeAddress(t), exited: make(chan error, 1),
 	}
-	control := freeAddress(t)
-	p.upstream = newUpstream(t, control)
+	p.upstream = newUpstream(t, p.control)
 	config := filepath.Join(t.TempDir(), "node.ini")
-	text := fmt.Sprintf(settingsText, p.upstream.server.Listener.Addr(), p.callers, p.peers, freeAddress(t), control,
+	text := fmt.Sprintf(settingsText, p.upstream.server.Listener.Addr(), p.callers, p.peers, freeAddress(t), p.control,
 		p.ready, p.metrics, newStore(t), moreLimits)
 	qt.Assert(t, os.WriteFile(config, []byte(text), 0o600), qt.IsNil)
 	p.logPath = config + ".log"
--- a/internal/proof/untrusted/single_test.go
+++ b/internal/proof/untrusted/single_test.go
@@ -76,6 +76,11 @@
 	_, err = io.ReadFull(conn, answer)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(answer), qt.Equals, "HTTP/1.1 413")
+	// The length of a body in chunks shows only once its request may have run.
+	received := p.upstream.received.Load()
+	status, err = p.upload(io.LimitReader(zeros{}, maxBodyBytes+1), -1, nil)
+	qt.Check(t, err != nil || status == http.StatusBadGateway, qt.IsTrue, qt.Commentf("status %d, error %v", status, err))
+	qt.Check(t, p.upstream.received.Load(), qt.Equals, received)
 }
 
 // Guards against a single deadline for a whole body: a client in calm sends about 1 KB in each second, for
