Close connections that stand still only by the share of descriptors

Cause: without [limits] descriptors, a listener at its bound of `connections` closed connections that stand still, while it only let new ones wait before. Nothing new may take effect unless the settings call for it.

Change: a listener closes such connections only where descriptors is set.

--- a/internal/edge/budget/listener.go
+++ b/internal/edge/budget/listener.go
@@ -37,8 +37,10 @@
 	Budget *Budget
 	// Class is the kind of the clients.
 	Class Class
-	// MaxConnections bounds the open connections; one more makes the one with the least progress close.
+	// MaxConnections bounds the open connections; one more waits.
 	MaxConnections int
+	// CloseStandstill closes a connection that stands still when another one waits.
+	CloseStandstill bool
 	// Limits returns the present limits on connections; nil sets none.
 	Limits func() Limits
 
@@ -71,8 +73,7 @@
 		l.mu.Lock()
 		changed := l.changed
 		l.mu.Unlock()
-		if victim := l.victim(c); victim != nil {
-			victim.closeFor(CauseConnections)
+		if l.closeVictim(c) {
 			continue
 		}
 		timer := time.NewTimer(victimPeriod)
@@ -132,6 +133,19 @@
 	return list
 }
 
+// closeVictim closes the connection that makes way for another one, if there is one.
+func (l *Listener) closeVictim(newcomer *Conn) bool {
+	if !l.CloseStandstill {
+		return false
+	}
+	victim := l.victim(newcomer)
+	if victim == nil {
+		return false
+	}
+	victim.closeFor(CauseConnections)
+	return true
+}
+
 // victim returns the connection that makes way for another one, or nil if each makes progress.
 func (l *Listener) victim(newcomer *Conn) *Conn {
 	list := l.snapshot()
--- a/internal/mesh/node/clients.go
+++ b/internal/mesh/node/clients.go
@@ -152,6 +152,7 @@
 	}
 	limited := &budget.Listener{
 		Listener: inner, Budget: n.clients.budget, Class: class, MaxConnections: n.clients.maxConnections(class),
+		CloseStandstill: n.Settings.Limits.Descriptors > 0,
 	}
 	server := &http.Server{
 		Handler: budget.Handler(handler), ReadHeaderTimeout: n.Settings.Limits.HeaderTime,
