--- a/internal/edge/pipeline/watchedconn.go
+++ b/internal/edge/pipeline/watchedconn.go
@@ -43,6 +43,9 @@
 	onByte func()
 }
 
+// NetConn returns the connection that is watched.
+func (c *watchedConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads for net/http.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -54,6 +54,10 @@
 	PipelinedRequests int
 	// PipelinedBytes bounds the heads and waiting answers of a connection with pipelined requests.
 	PipelinedBytes int64
+	// MemoryBytes is the memory that the process may use, and Descriptors the number of its
+	// file descriptors; zero sets no bound on what clients use of them.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Node holds the settings of one node.
@@ -178,6 +182,8 @@
 
 			PipelinedRequests: r.integer("limits", "pipelined_requests", 8, 0, 64),
 			PipelinedBytes:    int64(r.integer("limits", "pipelined_bytes", 256<<10, 1<<10, 64<<20)),
+			MemoryBytes:       int64(r.wholePartOrZero("limits", "memory_mb", leastMemoryMegabytes, 1<<20)) * bytesPerMegabyte,
+			Descriptors:       r.wholePartOrZero("limits", "descriptors", leastDescriptors, 1<<24),
 		},
 		Decisions: r.decisions(),
 	}
@@ -238,6 +244,15 @@
 	return s
 }
 
+const (
+	// leastMemoryMegabytes and leastDescriptors are what a node needs for itself, its peers and a
+	// few clients.
+	leastMemoryMegabytes = 32
+	leastDescriptors     = 64
+
+	bytesPerMegabyte = 1_000_000
+)
+
 // bytesPerMegabit is how links are measured: 10^6 bits.
 const bytesPerMegabit = 1e6 / 8
 
