Let quota holders grant at once after a loss of power at all machines

Cause: after a common start a holder need not wait for a former one, but had to hear 0.9 of the known members.

Change: 0.7 of the known members. A former holder that is heard still makes it wait.

--- a/internal/decision/reducer/quotaholder.go
+++ b/internal/decision/reducer/quotaholder.go
@@ -27,9 +27,10 @@
 	// last report at the soonest), and longer than usual delays of a report.
 	freezeThreshold = time.Second
 	// youngUptime is the age of processes that take part in a common start, and youngShare the share
-	// of the known members that must have been heard then. Those that are missing may come later.
+	// of the known members that must have been heard then. The directory still lists machines that
+	// were taken away for good, a tenth of them or more on days with replacements.
 	youngUptime = 3 * time.Second
-	youngShare  = 0.9
+	youngShare  = 0.7
 	// uptimeRise is how fast the expected lead of a peer's uptime rises per second of this process's
 	// time: more than two clocks differ in speed, and so slowly that a lead lowered by a late report is
 	// forgotten within minutes.
