Use addresses in the test of a common start of which the node holds a group

Change: other addresses.

Result: it passes, and fails with youngShare 0.9 for the reason that it names.

--- a/internal/decision/reducer/quotastart_test.go
+++ b/internal/decision/reducer/quotastart_test.go
@@ -28,7 +28,7 @@
 		var members []Member
 		for i := 2; i < 2+others; i++ {
 			spec := MemberSpec{
-				Address: fmt.Sprintf("10.0.0.%d:7600", i), Incarnation: uint64(i), Started: n.now, Version: 1,
+				Address: fmt.Sprintf("10.0.1.%d:7600", i), Incarnation: uint64(i), Started: n.now, Version: 1,
 				Region: "r1", Zone: "z1", Service: routedService, Upstream: fmt.Sprintf("10.0.0.%d:8080", i), Slots: 6,
 			}
 			members = append(members, NewMember(spec))
