Let operators check a configuration before it is sent

Cause: the platform's document could be judged only by publishing it.

Change: tanagerline config check FILE [--against FILE2] [--json] reports the findings of planlint and those that only the document shows: unknown types and kinds, repeated names, fields that can't be decoded, empty keys. main hands the platform's parts to the command line as cli.Platform.

--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -35,28 +35,27 @@
 	run(ctx context.Context, stdout, stderr io.Writer) error
 }
 
-func commands(adapter AdapterFactory) []command {
+func commands(platform Platform) []command {
 	return []command{
 		&burnCommand{},
+		&configCommand{read: platform.Configuration},
 		&demoCommand{},
 		&explainCommand{},
 		&loadCommand{},
-		&nodeCommand{adapter: adapter},
+		&nodeCommand{adapter: platform.Adapter},
 		&settingsCommand{},
 		&sheetCommand{},
 		&statusCommand{},
 	}
 }
 
-// Main runs the command that args name and returns its exit code.
-//
-// The adapter factory is called for a node whose settings ask for an adapter.
-func Main(args []string, stdout, stderr io.Writer, adapter AdapterFactory) int {
+// Main runs the command that args name, with the parts for the platform, and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer, platform Platform) int {
 	parser := flaggy.NewParser("tanagerline")
 	parser.Description = "A load balancer for servers whose load shifts in milliseconds."
 	parser.ShowHelpOnUnexpected = true
 	parser.DisableShowVersionWithVersion()
-	list := commands(adapter)
+	list := commands(platform)
 	for _, c := range list {
 		parser.AttachSubcommand(c.attach(), 1)
 	}
--- a/internal/operator/cli/nodecmd.go
+++ b/internal/operator/cli/nodecmd.go
@@ -30,9 +30,6 @@
 // live: a node allocates little, and its VM's memory belongs to the upstream.
 const collectAtPercent = 50
 
-// AdapterFactory makes the adapter for the platform that a node's settings name.
-type AdapterFactory func(settings.Node) *node.Adapter
-
 // settingsVariable names the settings file where the command line doesn't.
 const settingsVariable = "TANAGERLINE_CONFIG"
 
--- a/internal/proof/scenario/main_test.go
+++ b/internal/proof/scenario/main_test.go
@@ -20,11 +20,13 @@
 				log.Fatal(err)
 			}
 		},
-		"platform":    func() { os.Exit(platformMain(os.Args[1:])) },
-		"raw":         func() { rawMain(os.Args[1:]) },
-		"relay":       func() { log.Fatal(relayMain(os.Args[1:])) },
-		"tanagerline": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, platform.NewAdapter)) },
-		"upstream":    func() { os.Exit(upstreamMain(os.Args[1:])) },
+		"platform": func() { os.Exit(platformMain(os.Args[1:])) },
+		"raw":      func() { rawMain(os.Args[1:]) },
+		"relay":    func() { log.Fatal(relayMain(os.Args[1:])) },
+		"tanagerline": func() {
+			os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
+		},
+		"upstream": func() { os.Exit(upstreamMain(os.Args[1:])) },
 	})
 }
 
--- a/internal/proof/untrusted/node_test.go
+++ b/internal/proof/untrusted/node_test.go
@@ -27,7 +27,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(programVariable) != "" {
-		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, platform.NewAdapter))
+		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
 	}
 	os.Exit(m.Run())
 }
--- a/main.go
+++ b/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, platform.NewAdapter))
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
 }
