Keep access keys out of requests' trailers

Cause: the entry removed Authorization and X-Tenant from the headers of an attempt, but sent on the caller's trailer as it was. A client that sends its key there, announced or beside another announced field, had it sent to the guard and the upstream, which also got a tenant of the client's own choice.

Change: the attempt's request gets its own trailer, without these fields, filled at the body's end.

Result: TestTrailersCarryNoCredentials fails without the change ("Authorization: Token k" behind the streamed body) and passes with it; the tests of edge/caller, edge/upstream and mesh/peer pass.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -125,6 +125,7 @@
 	h := out.Header
 	if e.HideCredentials {
 		x.entry.Protocol.SetTenant(h, e.Tenant)
+		x.hideInTrailer(out)
 	}
 	h[peer.HeaderAttempt] = []string{string(e.Attempt)}
 	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
--- a/internal/edge/caller/exchange_test.go
+++ b/internal/edge/caller/exchange_test.go
@@ -1,11 +1,13 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,3 +123,27 @@
 		})
 	}
 }
+
+// A client can send its access key as a trailer, which need not be announced if another one is. It must
+// not leave the entry there either, and other trailers must.
+func TestTrailersCarryNoCredentials(t *testing.T) {
+	for announced, text := range map[string]string{"Authorization, Sum": "Authorization: Token k\r\nSum: 4\r\n", "Sum": "Sum: 4\r\nAuthorization: Token k\r\n"} {
+		for _, maxBuffered := range []int64{1, 64} {
+			c := qt.New(t)
+			req, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST /vault HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\nTrailer: " +
+				announced + "\r\n\r\n4\r\ntext\r\n0\r\n" + text + "\r\n")))
+			c.Assert(err, qt.IsNil)
+			var sent bytes.Buffer
+			x := newStreamedExchange(c, func(out *http.Request) (*http.Response, error) {
+				c.Check(out.Write(&sent), qt.IsNil)
+				return answer(out, reducer.OutcomeNotRun), nil
+			}, make([]byte, 65<<10))
+			x.req = req
+			x.body, err = newRequestBody(req, bodyLimits{maxBuffered: maxBuffered, bufferUnknownLength: true})
+			c.Assert(err, qt.IsNil)
+			x.sendAttempt(reducer.SendAttempt{Attempt: "a", Target: reducer.NewNodeID("127.0.0.1:1", 7), Deadline: time.Now().Add(time.Minute), HideCredentials: true})
+			c.Check(strings.Contains(sent.String(), "Authorization"), qt.IsFalse, qt.Commentf("%s", &sent))
+			c.Check(strings.Contains(sent.String(), "Sum: 4"), qt.Equals, maxBuffered == 1, qt.Commentf("%s", &sent))
+		}
+	}
+}
