Keep quotas and cold bounds in range for any limit

Cause: limits were converted to integers and durations without a bound. A tenant with a rate of 1e30, as an operator may write for no limit, was granted a negative number of tokens on amd64, so all its calls were rejected; a tiny warmupPerS gave a negative wait, and a huge one a single slot.

Change: the conversions are bounded.

Result: TestHugeLimitGrantsWhatIsWanted (- tokens) and TestExtremeRatesStayInRange fail without the change and pass with it; the tests of decision pass but the known red one.

--- a/internal/decision/quota/bucket.go
+++ b/internal/decision/quota/bucket.go
@@ -24,11 +24,11 @@
 	}
 	b.tokens = min(b.tokens+l.Rate*now.Sub(b.updated).Seconds(), bounds.capacity(l))
 	b.updated = now
-	granted := min(max(0, want.Demand), int(b.tokens))
+	granted := min(max(0, want.Demand), whole(b.tokens))
 	b.tokens -= float64(granted)
 	b.release(now, entry, want.Held)
-	room := int(math.Max(0, bounds.ahead(l)-float64(b.savedTokens(now))))
-	ahead := min(max(0, want.Ahead), int(b.tokens), room)
+	room := whole(bounds.ahead(l) - float64(b.savedTokens(now)))
+	ahead := min(max(0, want.Ahead), whole(b.tokens), room)
 	if ahead > 0 {
 		b.tokens -= float64(ahead)
 		b.saved[entry] = lot{tokens: b.saved[entry].tokens + ahead, expires: now.Add(AheadLifetime)}
@@ -36,6 +36,10 @@
 	return granted + ahead
 }
 
+// whole returns the number of whole tokens, bounded by what an int32 holds: limits may be of any size,
+// and a conversion that overflows gives a negative number on some machines.
+func whole(tokens float64) int { return int(min(max(0, tokens), math.MaxInt32)) }
+
 // release notes how many tokens an entry still holds. It never holds more than it was granted.
 func (b *Bucket) release(now time.Time, entry uint64, held int) {
 	s, ok := b.saved[entry]
--- a/internal/decision/quota/bucket_test.go
+++ b/internal/decision/quota/bucket_test.go
@@ -120,3 +120,13 @@
 	qt.Check(t, float64(saved) <= bounds.ahead(limit), qt.IsTrue, qt.Commentf("%d", saved))
 	qt.Check(t, float64(saved+spent) <= bounds.Most(limit), qt.IsTrue, qt.Commentf("%d and %d", saved, spent))
 }
+
+// A quota that stands for no limit, such as 1e30, must not overflow to a negative number of tokens, for which
+// every call would be rejected.
+func TestHugeLimitGrantsWhatIsWanted(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 1e30}, {Rate: 1, Burst: 1e30}, {Rate: 1e30, Burst: 1e30}} {
+		b := NewBucket(start)
+		granted := b.Grant(start.Add(time.Minute), limit, bounds, 1, Want{Demand: 3, Ahead: 2, Held: 0})
+		qt.Check(t, granted >= 3 && granted <= 5, qt.IsTrue, qt.Commentf("%v: %d", limit, granted))
+	}
+}
--- a/internal/decision/warmup/limit.go
+++ b/internal/decision/warmup/limit.go
@@ -86,9 +86,14 @@
 	if missing <= 0 {
 		return 0
 	}
+	remaining := l.Remaining(now)
+	seconds := missing / l.rate
+	if seconds >= remaining.Seconds() {
+		// The wait for a token may be too long for a duration.
+		return remaining
+	}
 	// The millisecond covers the rounding of the refill.
-	wait := time.Duration(missing/l.rate*float64(time.Second)) + time.Millisecond
-	return min(wait, l.Remaining(now))
+	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, remaining)
 }
 
 // Ready reports whether a request may be sent now.
@@ -115,7 +120,7 @@
 	if !l.Binds(now) {
 		return slots
 	}
-	return min(slots, max(1, int(l.rate*serviceTime.Seconds())))
+	return int(min(float64(slots), max(1, l.rate*serviceTime.Seconds())))
 }
 
 // end returns the end of the cold time.
--- a/internal/decision/warmup/limit_test.go
+++ b/internal/decision/warmup/limit_test.go
@@ -100,3 +100,14 @@
 	c.Assert(l.Slots(18, 50*time.Millisecond, start), qt.Equals, 1)
 	c.Assert(l.Slots(18, 500*time.Millisecond, start), qt.Equals, 7)
 }
+
+// A rate far beyond any real one must not overflow: neither to a wait in the past nor to fewer slots.
+func TestExtremeRatesStayInRange(t *testing.T) {
+	c := qt.New(t)
+	var l Limit
+	l.SetRate(1e-12, 0, start)
+	l.State(time.Minute, 0, start)
+	c.Assert(l.Wait(room+1, start), qt.Equals, time.Minute)
+	l.SetRate(1e30, 0, start)
+	c.Assert(l.Slots(8, time.Second, start), qt.Equals, 8)
+}
