Send no attempt once more to an upstream that closed meanwhile

Cause: a guard sends a request without a key and a body once more when a kept connection breaks. Whether the upstream was cold was asked only when the attempt started, so the resend reached an upstream that was evacuated or became cold while the attempt ran, past the guard's admission and without a token.

Change: the resend asks the reducer first. Without evacuations and warm-up rates nothing changes. The test of the cold upstream is extended by these cases and keeps its own.

Result: TestClosedUpstreamGetsARequestOnce fails without the change for "becomes cold" and "evacuated" (3 requests instead of 2) and passes with it, as do the other tests of edge/upstream.

--- a/internal/decision/reducer/evacuation.go
+++ b/internal/decision/reducer/evacuation.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// AllowsResend reports whether the guard may send a running attempt to its upstream once more, on
+// another connection: not if the upstream was evacuated or became cold while the attempt ran.
+func (r *Reducer) AllowsResend() bool {
+	g := &r.guard
+	return !g.evacuated && !g.warmupQuery.closes && !g.cold.Binds(r.now)
+}
+
 // refuseQueueWhenClosed refuses all queued attempts if the guard admits no work to its upstream, so
 // that their entries can retry them elsewhere.
 func (r *Reducer) refuseQueueWhenClosed() {
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -47,7 +47,8 @@
 }
 
 // send sends the request. If a reused connection fails before any answer, a request without
-// a key and without a body is sent once more, on a new connection, unless the upstream is cold.
+// a key and without a body is sent once more, on a new connection, unless the upstream was cold or is
+// closed to new work by now.
 func (r *runningAttempt) send(out *http.Request) (*http.Response, error) {
 	x := &exchange{
 		pool: r.guard.pool.Load(), address: r.address, requestID: r.arrived.RequestID, maxIdle: maxIdleTime,
@@ -63,7 +64,7 @@
 	if err == nil || r.arrived.Keyed || r.cold || x.connection == nil || !x.connection.reused || x.answered {
 		return resp, err
 	}
-	if out.Context().Err() != nil || out.Body != http.NoBody {
+	if out.Context().Err() != nil || out.Body != http.NoBody || !r.guard.allowsResend() {
 		return resp, err
 	}
 	retry := &exchange{
@@ -72,6 +73,13 @@
 	return retry.run(out)
 }
 
+// allowsResend reports whether the reducer allows to send a running attempt once more.
+func (g *Guard) allowsResend() bool {
+	allowed := false
+	g.Loop.Inspect(func(r *reducer.Reducer) { allowed = r.AllowsResend() })
+	return allowed
+}
+
 // discard reads a short answer to its end so that its connection can be reused.
 func (r *runningAttempt) discard(resp *http.Response) {
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainedBytes)
--- a/internal/edge/upstream/warmup_test.go
+++ b/internal/edge/upstream/warmup_test.go
@@ -66,35 +66,61 @@
 	}
 }
 
-// A request that the guard sends once more after a broken connection takes no token, so a cold upstream
-// must not get it.
-func TestColdUpstreamGetsARequestOnce(t *testing.T) {
+// A request that the guard sends once more after a broken connection takes no token and passes no
+// admission, so an upstream that is cold, or that became cold or was evacuated while the request ran, must
+// not get it.
+func TestClosedUpstreamGetsARequestOnce(t *testing.T) {
+	plan := reducer.PlanSpec{Services: []reducer.ServicePlan{{Name: "desk", WarmupRate: 1}}}
+	evacuated := plan
+	evacuated.EvacuatedZones = []string{"z"}
+	upstream := reducer.UpstreamAnnounced{Service: "desk", Address: "127.0.0.1:2", Slots: 4}
+	cold := upstream
+	cold.WarmupRemaining = time.Minute
 	for _, test := range []struct {
-		cold bool
-		want int64
-	}{{false, 3}, {true, 2}} {
-		c := qt.New(t)
-		var reached atomic.Int64
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if reached.Add(1) != 2 {
-				return
+		name      string
+		cold      bool
+		meanwhile reducer.Event
+		want      int64
+	}{
+		{"warm", false, upstream, 3},
+		{"cold at the start", true, upstream, 2},
+		{"becomes cold", false, cold, 2},
+		{"evacuated", false, reducer.PlanPublished{Plan: reducer.NewPlan(2, evacuated)}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := &loop.Loop{
+				Reducer: &reducer.Reducer{Self: reducer.MemberSpec{Address: "127.0.0.1:1", Incarnation: 7, Zone: "z"}, Settings: reducer.DefaultSettings()},
+				Clock:   time.Now, Background: func(reducer.Effect) {},
 			}
-			conn, _, err := http.NewResponseController(w).Hijack()
-			c.Check(err, qt.IsNil)
-			_ = conn.Close()
-		}))
-		guard := &Guard{Protocol: bufferingProtocol{}}
-		guard.Prepare()
-		for range 2 {
-			out, err := http.NewRequest(http.MethodGet, server.URL, http.NoBody)
-			c.Assert(err, qt.IsNil)
-			r := &runningAttempt{guard: guard, address: strings.TrimPrefix(server.URL, "http://"), cold: test.cold}
-			if resp, err := r.send(out); err == nil {
-				_, _ = io.Copy(io.Discard, resp.Body)
-				_ = resp.Body.Close()
+			l.Prepare()
+			l.Do(reducer.PlanPublished{Plan: reducer.NewPlan(1, plan)})
+			// The first announcement may be out of date; the second one counts.
+			l.Do(upstream)
+			l.Do(upstream)
+			var reached atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if reached.Add(1) != 2 {
+					return
+				}
+				l.Do(test.meanwhile)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				c.Check(err, qt.IsNil)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			guard := &Guard{Loop: l, Protocol: bufferingProtocol{}}
+			guard.Prepare()
+			for range 2 {
+				out, err := http.NewRequest(http.MethodGet, server.URL, http.NoBody)
+				c.Assert(err, qt.IsNil)
+				r := &runningAttempt{guard: guard, address: strings.TrimPrefix(server.URL, "http://"), cold: test.cold}
+				if resp, err := r.send(out); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
 			}
-		}
-		c.Assert(reached.Load(), qt.Equals, test.want, qt.Commentf("cold=%v", test.cold))
-		server.Close()
+			c.Assert(reached.Load(), qt.Equals, test.want)
+		})
 	}
 }
