Adopt a plan's zones before its quotas

Cause: a plan that ends a tenant's quota sends on the calls that wait for its tokens. That happened before the plan's evacuated zones and services were in force, so such a call was sent into a zone that the same plan evacuates; only a guard with the same plan refused it.

Change: the quotas follow the services.

--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -186,6 +186,19 @@
 	}
 }
 
+// A plan that ends a tenant's quota and evacuates a zone must not send the calls that waited for tokens
+// into that zone.
+func TestCallsThatWaitedAvoidTheNewPlansZones(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	n.quotaCall()
+	spec := quotaPlan(1000, Tenant{Name: n.tenants.tenants[0].Name}).Spec()
+	spec.EvacuatedZones = []string{"zr1"}
+	effects := n.step(PlanPublished{Plan: NewPlan(1000, spec)})
+	c.Assert(sentAttempts(effects), qt.HasLen, 0)
+	c.Assert(mustReject(c, effects).Outcome, qt.Equals, OutcomeNotRun)
+}
+
 // A lower limit must bind one window after it is in force everywhere.
 func TestLowerLimitBindsAfterAWindow(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -343,10 +343,11 @@
 	}
 	r.routes.setRoutes(plan.spec.Routes)
 	r.tenants = newTenantTable(plan.spec.Tenants)
-	r.quotaPlanChanged()
 	r.reportSoon()
 	r.members.evacuatedZones = plan.spec.EvacuatedZones
 	r.members.rebuildServices(r.planInForceIndex)
+	// This sends on calls, so it follows what decides where they may go.
+	r.quotaPlanChanged()
 	r.applyWarmupRate()
 	r.updateEvacuation()
 	r.refuseQueueWhenClosed()
