Don't repeat a malformed trailer in an answer

Cause: the answer to a body that can't be read quotes the error, and net/textproto's error quotes the line of the trailer at fault, which may hold the client's access key.

Change: a protocol error is reported as such only.

Result: TestMalformedTrailerIsNotRepeated, whose error holds "Authorization Token k", passes; the tests of edge/caller pass.

--- a/internal/edge/caller/body_test.go
+++ b/internal/edge/caller/body_test.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 
@@ -52,3 +54,15 @@
 	_, err = reader.Read(make([]byte, 1))
 	c.Assert(err, qt.ErrorIs, errAttemptEnded)
 }
+
+// A client's malformed trailer may hold its access key, which the answer must not repeat.
+func TestMalformedTrailerIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(
+		"POST /vault HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\nAuthorization Token k\r\n\r\n")))
+	c.Assert(err, qt.IsNil)
+	_, err = newRequestBody(req, bodyLimits{maxBuffered: 64, bufferUnknownLength: true})
+	c.Assert(err, qt.ErrorMatches, ".*Token k.*")
+	c.Assert(bodyDetail(err), qt.Equals, "body: malformed")
+	c.Assert(bodyDetail(errBodyTooLong), qt.Equals, "body: "+errBodyTooLong.Error())
+}
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"time"
 
@@ -129,7 +130,7 @@
 		if errors.Is(err, errBodyTooLong) {
 			account.Refuse(budget.CauseLongBody)
 		}
-		e.refuse(w, req, bodyProblem(err), "body: "+err.Error())
+		e.refuse(w, req, bodyProblem(err), bodyDetail(err))
 		// The rest of the body is not needed: Finish limits the time in which the server reads it.
 		requestBody.Finish()
 		return
@@ -171,6 +172,16 @@
 	}
 }
 
+// bodyDetail describes why a body could not be read. The text of a protocol error can quote a line of the
+// trailer, and so an access key.
+func bodyDetail(err error) string {
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		return "body: malformed"
+	}
+	return "body: " + err.Error()
+}
+
 // limits returns the plan's limits on callers.
 func (e *Entry) limits() reducer.CallerLimits {
 	var limits reducer.CallerLimits
