Query the cold time of a new run, not of the former one

Cause: when the upstream was replaced while a query for its cold time was on its way, no other query began, so the former run's answer "warm" ended the bound for the new run, which had not stated its own.

Change: a new run of unknown coldness begins a new query; answers to the former are ignored.

Result: TestAnswerOfAFormerRunIsIgnored fails without the change (no second query) and passes with it; the tests of the reducer pass but the known red one.

--- a/internal/decision/reducer/warmup.go
+++ b/internal/decision/reducer/warmup.go
@@ -84,6 +84,11 @@
 		g.coldnessKnown = g.coldnessKnown || !first
 	case newRun:
 		g.coldnessKnown = false
+		if g.warmupQuery.pending {
+			// The former run may be the one that answers the query in flight.
+			g.cold.Assume(r.warmupTime(), g.running, r.now)
+			r.beginWarmupQuery(g.warmupQuery.closes)
+		}
 	}
 	// An announcement may have been sent before the end of an evacuation, which makes the upstream
 	// cold, so one without a cold time does not answer the query then.
--- a/internal/decision/reducer/warmup_test.go
+++ b/internal/decision/reducer/warmup_test.go
@@ -285,3 +285,23 @@
 		c.Assert(run(remaining), qt.DeepEquals, warm, qt.Commentf("%s", remaining))
 	}
 }
+
+// The answer of a run that was replaced while the query was on its way says nothing of the new one, which is
+// cold.
+func TestAnswerOfAFormerRunIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	n := newColdGuard(18, 0)
+	run := func(instance string) []QueryWarmup {
+		return warmupQueries(n.step(UpstreamAnnounced{
+			Service: routedService, Address: "10.0.0.1:8080", Slots: 18, Instance: instance, WarmupRemaining: WarmupUnknown,
+		}))
+	}
+	former := run("i-2")
+	c.Assert(former, qt.HasLen, 1)
+	current := run("i-3")
+	c.Assert(current, qt.HasLen, 1)
+	n.step(WarmupAnswered{Query: former[0].Query, Remaining: 0})
+	c.Assert(n.LoadReport().slots, qt.Equals, 1)
+	n.step(WarmupAnswered{Query: current[0].Query, Remaining: 0})
+	c.Assert(n.LoadReport().slots, qt.Equals, 18)
+}
