Don't promise not-run for a request that was sent twice

Cause: a guard sends an idempotent request once more when a kept connection breaks before an answer. If the process behind the new connection refused it, as a restarted upstream does with 421, the guard reported the attempt as not run, and the entry could answer 503, although the first copy may have run until its process died.

Change: after a resend, such a refusal leaves the outcome unknown, so a retry draws on the budget. The replacement of the upstream is still reported.

Result: TestRefusedResendMayHaveRun fails without the change (not-run instead of unknown) and passes with it; the tests of edge/upstream pass.

--- a/internal/edge/upstream/guard.go
+++ b/internal/edge/upstream/guard.go
@@ -231,10 +231,17 @@
 	verdict := g.Protocol.ClassifyAnswer(resp)
 	r.pacePercent = verdict.PacePercent
 	r.status = resp.StatusCode
+	if verdict.ReplacementInstance != "" {
+		g.Loop.Do(reducer.UpstreamReplaced{Instance: verdict.ReplacementInstance})
+	}
 	switch {
+	case verdict.Outcome == reducer.OutcomeNotRun && r.resent:
+		// The statement is about the second copy only.
+		r.discard(resp)
+		r.endWork(reducer.OutcomeUnknown, reducer.BasisNoAnswer, nil)
+		return g.unknownOutcome(req, arrived.Attempt), nil
 	case verdict.ReplacementInstance != "":
 		r.discard(resp)
-		g.Loop.Do(reducer.UpstreamReplaced{Instance: verdict.ReplacementInstance})
 		r.endWork(reducer.OutcomeNotRun, reducer.BasisOtherRun, nil)
 		return g.refusal(req, reducer.RefusalNoUpstream, reducer.OutcomeNotRun), nil
 	case verdict.Outcome == reducer.OutcomeNotRun:
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -30,6 +30,8 @@
 	cancel context.CancelFunc
 	// connected reports that the request may have reached the upstream.
 	connected bool
+	// resent reports that the request was sent a second time, and that the first copy may have run.
+	resent bool
 	// pacePercent is AnswerClass.PacePercent.
 	pacePercent int
 	// status is the status of the upstream's answer, or zero without one.
@@ -70,6 +72,7 @@
 	retry := &exchange{
 		pool: x.pool, address: r.address, requestID: x.requestID, match: x.match, skipMismatched: x.skipMismatched,
 	}
+	r.resent = true
 	return retry.run(out)
 }
 
