Learn from deadlines of authorized calls only

Cause: an entry estimates when a request was first sent from the longest deadline that it has seen on the route. The estimate was updated before the access key was checked, so one call with an unknown key and a deadline an hour away made every other call of the route look like a resend whose objective had passed.

Change: the objective is worked out behind the check.

Result: TestDeadlinesOfUnauthorizedCallsDontCount fails without the change (the next call's objective is 55 minutes in the past) and passes with it; the tests of the reducer pass but the known red one.

--- a/internal/decision/reducer/access_test.go
+++ b/internal/decision/reducer/access_test.go
@@ -94,3 +94,19 @@
 	sent, _ = n.callWithKey("/a/x", "digest-of-t2", false)[0].(SendAttempt)
 	c.Assert(sent.Target, qt.Not(qt.Equals), far)
 }
+
+// The deadline of a call without a known key must not count for other calls: one that is far off would make
+// them look like resends of requests whose objective has passed.
+func TestDeadlinesOfUnauthorizedCallsDontCount(t *testing.T) {
+	c := qt.New(t)
+	n := newRoutedNode(true)
+	n.peer(2, "r1", load(0, time.Millisecond))
+	n.step(PlanPublished{Plan: tenantPlan(2, "k1")})
+	before, _ := n.callWithKey("/a/x", "k1", false)[0].(SendAttempt)
+	mustReject(c, n.step(CallArrived{
+		Call: 1000, Routed: true, Host: routedHost, Path: "/a/x", Retries: -1, Deadline: n.now.Add(time.Hour), AccessKeyDigest: "digest",
+	}))
+	after, _ := n.callWithKey("/a/x", "k1", false)[0].(SendAttempt)
+	c.Assert(before.Objective.After(n.now), qt.IsTrue)
+	c.Assert(after.Objective, qt.Equals, before.Objective)
+}
--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -158,8 +158,8 @@
 	return usual - remaining
 }
 
-// resolveRoute sets a routed call's service, kind, deadline and objective from the plan in
-// force and returns the problem, or an empty string.
+// resolveRoute sets a routed call's service, kind and deadline from the plan in force and returns the
+// problem, or an empty string.
 func (r *Reducer) resolveRoute(c *call, e CallArrived) ProblemKind {
 	if r.planInForce.offset == 0 {
 		return ProblemNoPlan
@@ -173,19 +173,21 @@
 	c.service = found.nextService()
 	found.kind.burn = r.burn.series(c.service, "requests")
 	timeout := r.now.Add(found.route.Timeout)
-	timeSinceFirstSend := time.Duration(0)
-	if c.deadline.IsZero() {
+	if c.deadline.IsZero() || timeout.Before(c.deadline) {
 		c.deadline = timeout
-	} else {
-		timeSinceFirstSend = found.state.timeSinceFirstSend(r.now, c.deadline.Sub(r.now))
-		if timeout.Before(c.deadline) {
-			c.deadline = timeout
-		}
+	}
+	return ""
+}
+
+// resolveObjective sets a routed call's objective, which counts from when the caller first sent the request.
+// The call must be authorized: its deadline counts for the estimates of the route's other calls.
+func (r *Reducer) resolveObjective(c *call, e CallArrived) {
+	timeSinceFirstSend := time.Duration(0)
+	if !e.Deadline.IsZero() {
+		timeSinceFirstSend = c.route.state.timeSinceFirstSend(r.now, e.Deadline.Sub(r.now))
 	}
 	c.objective = c.deadline
-	// The route's objective counts from when the caller first sent the request.
-	if found.route.Objective > 0 {
-		c.objective = r.now.Add(found.route.Objective - timeSinceFirstSend)
+	if c.route.route.Objective > 0 {
+		c.objective = r.now.Add(c.route.route.Objective - timeSinceFirstSend)
 	}
-	return ""
 }
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -26,6 +26,7 @@
 		r.reject(c, OutcomeNotRun, problem)
 		return
 	}
+	r.resolveObjective(c, e)
 	r.resolveRegions(c)
 	c.keyed = !c.route.route.Idempotent
 	r.earnRoutedRetry(c.service)
