Earn retries by calls that are sent only

Cause: each routed call added to its service's retry budget on arrival, also when it was then rejected as over its tenant's quota. A tenant that sends many times its quota so earned the service retries, which reach upstreams beyond the budget's share of real requests.

Change: a call earns when it is sent for the first time. A quarantined call, which is not sent either, no longer earns; other calls do as before.

Result: TestCallsOverTheQuotaEarnNoRetries fails without the change (a waiting call has earned) and passes with it; the tests of the reducer pass but the known red one.

--- a/internal/decision/reducer/quota.go
+++ b/internal/decision/reducer/quota.go
@@ -121,7 +121,7 @@
 func (r *Reducer) tenantWithoutQuota(c *call) {
 	for _, t := range r.tenants.tenants {
 		if t.Name == c.quota.name {
-			r.dispatch(c)
+			r.sendAdmitted(c)
 			return
 		}
 	}
@@ -134,14 +134,14 @@
 		c.quota = r.quotas.tenants[c.tenant.Name]
 	}
 	if c.quota == nil {
-		r.dispatch(c)
+		r.sendAdmitted(c)
 		return
 	}
 	q := c.quota
 	r.refreshQuotaHolders()
 	q.lease.Arrived(r.now)
 	if q.lease.Take(r.now) {
-		r.dispatch(c)
+		r.sendAdmitted(c)
 		if !q.lease.Want(r.now, 0).IsZero() {
 			r.requestQuota(q.group)
 		}
@@ -196,7 +196,7 @@
 		return
 	}
 	r.noteCallDecision(DecisionQuotaAdmitted, c, Decision{Reason: "fixed-share"})
-	r.dispatch(c)
+	r.sendAdmitted(c)
 }
 
 // fleetKnown reports whether this process has had the time to learn of the other members. Before,
@@ -254,7 +254,7 @@
 		// Calls may still wait if the settings have just changed.
 		for i := range r.quotas.groups {
 			if len(r.quotas.groups[i].waiting) > 0 {
-				r.endQuotaWait(&r.quotas.groups[i], func(*call) bool { return true }, r.dispatch)
+				r.endQuotaWait(&r.quotas.groups[i], func(*call) bool { return true }, r.sendAdmitted)
 			}
 		}
 		return
--- a/internal/decision/reducer/quotarequest.go
+++ b/internal/decision/reducer/quotarequest.go
@@ -117,7 +117,7 @@
 			return
 		}
 		r.noteCallDecision(DecisionQuotaAdmitted, c, Decision{Reason: "granted"})
-		r.dispatch(c)
+		r.sendAdmitted(c)
 	})
 }
 
--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -199,6 +199,25 @@
 	c.Assert(mustReject(c, effects).Outcome, qt.Equals, OutcomeNotRun)
 }
 
+// Calls over the quota reach no upstream, so a tenant that sends many of them must not earn the service retries.
+func TestCallsOverTheQuotaEarnNoRetries(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	requests := func() int {
+		total, _ := n.retryWindowOf(routedService).total()
+		return total
+	}
+	request := quotaRequests(n.quotaCall())[0]
+	c.Assert(requests(), qt.Equals, 0)
+	c.Assert(sentAttempts(n.grant(request, 1)), qt.HasLen, 1)
+	c.Assert(requests(), qt.Equals, 1)
+	mustReject(c, n.grant(quotaRequests(n.quotaCall())[0], 0))
+	for range 10 {
+		mustReject(c, n.quotaCall())
+	}
+	c.Assert(requests(), qt.Equals, 1)
+}
+
 // A lower limit must bind one window after it is in force everywhere.
 func TestLowerLimitBindsAfterAWindow(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -29,7 +29,6 @@
 	r.resolveObjective(c, e)
 	r.resolveRegions(c)
 	c.keyed = !c.route.route.Idempotent
-	r.earnRoutedRetry(c.service)
 	if r.suspects.quarantined(c.fingerprint) {
 		r.reject(c, OutcomeNotRun, ProblemQuarantined)
 		return
@@ -37,6 +36,13 @@
 	r.admitByQuota(c)
 }
 
+// sendAdmitted sends a routed call for the first time. Only such calls earn retries: one that is rejected
+// before, such as a call over its tenant's quota, reaches no upstream.
+func (r *Reducer) sendAdmitted(c *call) {
+	r.earnRoutedRetry(c.service)
+	r.dispatch(c)
+}
+
 // pickUpstream returns the upstream for the call's next attempt, or nil.
 func (r *Reducer) pickUpstream(c *call) *peer {
 	if c.route != nil {
