--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -186,6 +186,38 @@
 	}
 }
 
+// A plan that ends a tenant's quota and evacuates a zone must not send the calls that waited for tokens
+// into that zone.
+func TestCallsThatWaitedAvoidTheNewPlansZones(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	n.quotaCall()
+	spec := quotaPlan(1000, Tenant{Name: n.tenants.tenants[0].Name}).Spec()
+	spec.EvacuatedZones = []string{"zr1"}
+	effects := n.step(PlanPublished{Plan: NewPlan(1000, spec)})
+	c.Assert(sentAttempts(effects), qt.HasLen, 0)
+	c.Assert(mustReject(c, effects).Outcome, qt.Equals, OutcomeNotRun)
+}
+
+// Calls over the quota reach no upstream, so a tenant that sends many of them must not earn the service retries.
+func TestCallsOverTheQuotaEarnNoRetries(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	requests := func() int {
+		total, _ := n.retryWindowOf(routedService).total()
+		return total
+	}
+	request := quotaRequests(n.quotaCall())[0]
+	c.Assert(requests(), qt.Equals, 0)
+	c.Assert(sentAttempts(n.grant(request, 1)), qt.HasLen, 1)
+	c.Assert(requests(), qt.Equals, 1)
+	mustReject(c, n.grant(quotaRequests(n.quotaCall())[0], 0))
+	for range 10 {
+		mustReject(c, n.quotaCall())
+	}
+	c.Assert(requests(), qt.Equals, 1)
+}
+
 // A lower limit must bind one window after it is in force everywhere.
 func TestLowerLimitBindsAfterAWindow(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -30,6 +30,8 @@
 	cancel context.CancelFunc
 	// connected reports that the request may have reached the upstream.
 	connected bool
+	// resent reports that the request was sent a second time, and that the first copy may have run.
+	resent bool
 	// pacePercent is AnswerClass.PacePercent.
 	pacePercent int
 	// status is the status of the upstream's answer, or zero without one.
@@ -47,7 +49,8 @@
 }
 
 // send sends the request. If a reused connection fails before any answer, a request without
-// a key and without a body is sent once more, on a new connection, unless the upstream is cold.
+// a key and without a body is sent once more, on a new connection, unless the upstream was cold or is
+// closed to new work by now.
 func (r *runningAttempt) send(out *http.Request) (*http.Response, error) {
 	x := &exchange{
 		pool: r.guard.pool.Load(), address: r.address, requestID: r.arrived.RequestID, maxIdle: maxIdleTime,
@@ -63,15 +66,23 @@
 	if err == nil || r.arrived.Keyed || r.cold || x.connection == nil || !x.connection.reused || x.answered {
 		return resp, err
 	}
-	if out.Context().Err() != nil || out.Body != http.NoBody {
+	if out.Context().Err() != nil || out.Body != http.NoBody || !r.guard.allowsResend() {
 		return resp, err
 	}
 	retry := &exchange{
 		pool: x.pool, address: r.address, requestID: x.requestID, match: x.match, skipMismatched: x.skipMismatched,
 	}
+	r.resent = true
 	return retry.run(out)
 }
 
+// allowsResend reports whether the reducer allows to send a running attempt once more.
+func (g *Guard) allowsResend() bool {
+	allowed := false
+	g.Loop.Inspect(func(r *reducer.Reducer) { allowed = r.AllowsResend() })
+	return allowed
+}
+
 // discard reads a short answer to its end so that its connection can be reused.
 func (r *runningAttempt) discard(resp *http.Response) {
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainedBytes)
