Look at the tenants that send calls only

Cause: whenever an entry may ask a holder for tokens, it looked at each tenant of the group, so a call cost more for each tenant of the plan, also for those that send nothing.

Change: a group keeps the tenants that have calls; one that is idle without waiting calls is dropped at the next look. The requests are the same.

TestIdleTenantsCostNothing passes, as do the tests of the reducer but the known red one.

--- a/internal/decision/quota/lease.go
+++ b/internal/decision/quota/lease.go
@@ -82,6 +82,9 @@
 	return l.calls * math.Exp(-now.Sub(l.updated).Seconds()/demandMemory.Seconds())
 }
 
+// Idle reports whether there are too few calls to ask for tokens while none waits.
+func (l *Lease) Idle(now time.Time) bool { return l.demand(now) < minAheadDemand }
+
 // Take takes a token if there is one.
 func (l *Lease) Take(now time.Time) bool {
 	l.expire(now)
--- a/internal/decision/reducer/quota.go
+++ b/internal/decision/reducer/quota.go
@@ -40,6 +40,8 @@
 	index   int
 	holder  NodeID
 	tenants []*tenantQuota
+	// active holds the tenants that may want tokens: a plan may have thousands of others.
+	active []*tenantQuota
 	// grantFrom is when this node may grant tokens, or zero if it is not the holder.
 	grantFrom time.Time
 	// fraction is the part of the known members that this node hears and that use its grants.
@@ -63,6 +65,8 @@
 	group *quotaGroup
 	lease quota.Lease
 	share quota.Share
+	// active is set while the tenant is one of the group's active tenants.
+	active bool
 	// shareStarted is the loss of the holder for which the share was started.
 	shareStarted time.Time
 	// bucket holds the tokens if this node is the holder, or is nil.
@@ -113,6 +117,7 @@
 	}
 	for i := range r.quotas.groups {
 		g := &r.quotas.groups[i]
+		g.active = slices.DeleteFunc(g.active, func(q *tenantQuota) bool { return r.quotas.tenants[q.name] != q })
 		r.endQuotaWait(g, func(c *call) bool { return r.quotas.tenants[c.quota.name] != c.quota }, r.tenantWithoutQuota)
 	}
 }
@@ -139,7 +144,7 @@
 	}
 	q := c.quota
 	r.refreshQuotaHolders()
-	q.lease.Arrived(r.now)
+	q.arrived(r.now)
 	if q.lease.Take(r.now) {
 		r.sendAdmitted(c)
 		if !q.lease.Want(r.now, 0).IsZero() {
@@ -160,6 +165,15 @@
 	}
 }
 
+// arrived counts a call of the tenant.
+func (q *tenantQuota) arrived(now time.Time) {
+	q.lease.Arrived(now)
+	if !q.active {
+		q.active = true
+		q.group.active = append(q.group.active, q)
+	}
+}
+
 // waitingOf returns the number of calls of a tenant that wait for tokens.
 func (g *quotaGroup) waitingOf(q *tenantQuota) int {
 	n := 0
--- a/internal/decision/reducer/quotarequest.go
+++ b/internal/decision/reducer/quotarequest.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 )
 
@@ -13,7 +14,11 @@
 	}
 	request := &quotaRequest{sent: r.now}
 	var wanted []QuotaTokens
-	for _, q := range g.tenants {
+	g.active = slices.DeleteFunc(g.active, func(q *tenantQuota) bool {
+		q.active = !q.lease.Idle(r.now) || g.waitingOf(q) > 0
+		return !q.active
+	})
+	for _, q := range g.active {
 		waiting := g.waitingOf(q)
 		want := q.lease.Want(r.now, waiting)
 		if want.IsZero() {
--- a/internal/decision/reducer/quotawait_test.go
+++ b/internal/decision/reducer/quotawait_test.go
@@ -218,6 +218,37 @@
 	c.Assert(requests(), qt.Equals, 1)
 }
 
+// A call must not cost more for each tenant of the plan: a group looks at the tenants that send calls only,
+// and at those no longer than they do.
+func TestIdleTenantsCostNothing(t *testing.T) {
+	c := qt.New(t)
+	n, _ := newQuotaEntry(c)
+	tenants := []Tenant{n.tenants.tenants[0]}
+	for i := range 1000 {
+		tenants = append(tenants, Tenant{Name: fmt.Sprint("idle", i), RatePerSecond: 10, Burst: 5})
+	}
+	n.step(PlanPublished{Plan: quotaPlan(1000, tenants...)})
+	active := func() (sum int) {
+		for i := range n.quotas.groups {
+			sum += len(n.quotas.groups[i].active)
+		}
+		return sum
+	}
+	n.quotaCall()
+	c.Assert(active(), qt.Equals, 1)
+	for i := range 1000 {
+		n.callWithKey("/a/x", fmt.Sprint("digest-of-idle", i), false)
+	}
+	for range 10 {
+		n.advance(maxQuotaWait)
+		n.step(Tick{})
+	}
+	n.quotaCall()
+	c.Assert(active() <= 1000*(quotaGroups-1)/quotaGroups+100, qt.IsTrue, qt.Commentf("%d", active()))
+	n.step(PlanPublished{Plan: quotaPlan(1001, tenants[0])})
+	c.Assert(active() <= 1, qt.IsTrue)
+}
+
 // A lower limit must bind one window after it is in force everywhere.
 func TestLowerLimitBindsAfterAWindow(t *testing.T) {
 	for seed := range uint64(5) {
