Bound what a caller's far deadline says of others

Cause: the longest deadline seen on a route tells which calls are resends. Any caller, also one without a key on an open route, could set one of an hour, which put the objectives of all other calls 55 minutes into the past for 10 s.

Change: a deadline beyond the route's timeout counts as the timeout. Callers that stay within it are served as before.

--- a/internal/decision/reducer/access_test.go
+++ b/internal/decision/reducer/access_test.go
@@ -110,3 +110,17 @@
 	c.Assert(before.Objective.After(n.now), qt.IsTrue)
 	c.Assert(after.Objective, qt.Equals, before.Objective)
 }
+
+// A caller of an open route may set any deadline: one beyond the route's timeout must not move the objectives
+// of other calls further than the timeout itself would.
+func TestFarDeadlineCountsAsTheTimeout(t *testing.T) {
+	c := qt.New(t)
+	objectiveAfter := func(deadline time.Duration) time.Duration {
+		n := newRoutedNode(true)
+		n.peer(2, "r1", load(0, time.Millisecond))
+		n.call("/a/x", deadline)
+		return sent(c, n.call("/a/x", time.Second)).Objective.Sub(n.now)
+	}
+	timeout := routedPlan(1, true).Spec().Routes[0].Timeout
+	c.Assert(objectiveAfter(time.Hour), qt.Equals, objectiveAfter(timeout))
+}
--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -184,7 +184,9 @@
 func (r *Reducer) resolveObjective(c *call, e CallArrived) {
 	timeSinceFirstSend := time.Duration(0)
 	if !e.Deadline.IsZero() {
-		timeSinceFirstSend = c.route.state.timeSinceFirstSend(r.now, e.Deadline.Sub(r.now))
+		// A caller may set any deadline, so one beyond the route's timeout says no more than the timeout.
+		remaining := min(e.Deadline.Sub(r.now), c.route.route.Timeout)
+		timeSinceFirstSend = c.route.state.timeSinceFirstSend(r.now, remaining)
 	}
 	c.objective = c.deadline
 	if c.route.route.Objective > 0 {
