Test crowds that pipeline requests

Clients that pipeline requests and read no answer make a node keep answers of up to 4 MiB, which draw from no budget. Nothing tested what a connection holds once it was taken over from net/http.

--- a/internal/proof/untrusted/platform_test.go
+++ b/internal/proof/untrusted/platform_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,6 +27,10 @@
 	// maxBodyBytes and maxHeaderBytes are the limits of the plan.
 	maxBodyBytes   = 64 << 20
 	maxHeaderBytes = 16 << 10
+	// largePath is the prefix of the paths whose answers have largeAnswerBytes; a node keeps answers of
+	// up to 4 MiB whole.
+	largePath        = "/read/large/"
+	largeAnswerBytes = 3 << 20
 )
 
 const configuration = `{"version":1,"resources":[
@@ -139,5 +144,9 @@
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Signature", "signed-"+id)
+	if strings.HasPrefix(req.URL.Path, largePath) {
+		_, _ = io.CopyN(w, zeros{}, largeAnswerBytes)
+		return
+	}
 	_, _ = io.WriteString(w, "body-"+id)
 }
