Answer HEAD requests whose answers announce a length

A node with an adapter keeps answers whole. For HEAD it waited for a body of the announced length, took the answer for one that broke off, and answered 502. ReadWhole now reads only the end of such an answer and leaves its length.

--- a/internal/mesh/peer/whole.go
+++ b/internal/mesh/peer/whole.go
@@ -18,6 +18,14 @@
 // ReadWhole reads an answer's body to its end, so that one that breaks off is never passed
 // on as if it were complete.
 func ReadWhole(resp *http.Response) error {
+	if resp.Request != nil && resp.Request.Method == http.MethodHead {
+		// The length is that of the answer to GET: there is no body, but only its end, after which the
+		// connection is reused.
+		_, err := io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		resp.Body = http.NoBody
+		return err
+	}
 	if resp.ContentLength > MaxWholeAnswerBytes {
 		_ = resp.Body.Close()
 		return errAnswerTooLong
--- a/internal/proof/untrusted/single_test.go
+++ b/internal/proof/untrusted/single_test.go
@@ -101,3 +101,17 @@
 	qt.Check(t, status, qt.Equals, http.StatusOK)
 	qt.Check(t, p.upstream.received.Load(), qt.Equals, int64(pieces*pieceBytes))
 }
+
+// Guards against HEAD requests that fail because a node waits for a body of the announced length.
+func TestHeadIsAnsweredWithTheLength(t *testing.T) {
+	p := startNode(t, crowdLimits)
+	req, err := http.NewRequest(http.MethodHead, "http://"+p.callers+"/read/head", http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = host
+	req.Header.Set("X-Request-Id", "head")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	_ = resp.Body.Close()
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Check(t, resp.ContentLength, qt.Equals, int64(len("body-head")))
+}
