Test a crowd that reads none of its answers

The crowd that pipelines reads shows what is kept once a connection was taken over. Uploads are never run ahead, and their answers wait in net/http.

Adds clients that send uploads one behind the other and read nothing.

--- a/internal/proof/untrusted/pipeline_test.go
+++ b/internal/proof/untrusted/pipeline_test.go
@@ -32,6 +32,19 @@
 	})
 }
 
+// Guards against answers that are kept for clients which read nothing, where each request waits for the answer
+// before it.
+func TestAnswersThatNobodyReads(t *testing.T) {
+	p := startNode(t, crowdLimits)
+	runCrowd(t, p, p.callers, func(conn net.Conn, number int) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		for i := range pipelinedRequests {
+			_, _ = io.WriteString(conn, fmt.Sprintf("POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: unread-%d-%d\r\n"+
+				"Content-Length: 1\r\n\r\nx", largeUploadPath, i, host, number, i))
+		}
+	})
+}
+
 // Guards against long heads of pipelined requests that are all kept until their answers are read.
 func TestPipelinedLongHeads(t *testing.T) {
 	p := startNode(t, crowdLimits)
--- a/internal/proof/untrusted/platform_test.go
+++ b/internal/proof/untrusted/platform_test.go
@@ -27,9 +27,10 @@
 	// maxBodyBytes and maxHeaderBytes are the limits of the plan.
 	maxBodyBytes   = 64 << 20
 	maxHeaderBytes = 16 << 10
-	// largePath is the prefix of the paths whose answers have largeAnswerBytes; a node keeps answers of
+	// largePath is the prefix of the paths, and largeUploadPath that of uploads, whose answers have largeAnswerBytes; a node keeps answers of
 	// up to 4 MiB whole.
 	largePath        = "/read/large/"
+	largeUploadPath  = "/upload/large/"
 	largeAnswerBytes = 3 << 20
 )
 
@@ -144,7 +145,7 @@
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Signature", "signed-"+id)
-	if strings.HasPrefix(req.URL.Path, largePath) {
+	if strings.HasPrefix(req.URL.Path, largePath) || strings.HasPrefix(req.URL.Path, largeUploadPath) {
 		_, _ = io.CopyN(w, zeros{}, largeAnswerBytes)
 		return
 	}
