Draw what callers' connections hold from the memory budget

A connection that was taken over from net/http drew nothing: neither heads nor answers, and budget took it for idle as soon as its first handler had returned. Answers that net/http writes were bounded in time only.

The takeover, heads as they arrive, and whole answers until they are written draw now. Heads are read ahead only while the groups are half empty; otherwise they wait for the answers before them. A connection that has no room for an answer, or the least progress for what it holds, is closed without an answer. The causes are counted and logged as for other clients.

--- a/internal/edge/budget/budget.go
+++ b/internal/edge/budget/budget.go
@@ -26,6 +26,8 @@
 	CauseSlowHead Cause = "slow-head"
 	// CauseIdle is a connection without a request for longer than the idle time.
 	CauseIdle Cause = "idle"
+	// CauseUnread is a connection whose client did not read its answers in time.
+	CauseUnread Cause = "unread-answers"
 	// CauseLongHead is a head over the limit.
 	CauseLongHead Cause = "long-head"
 	// CauseLongBody is a body over the limit.
@@ -141,13 +143,14 @@
 	b.released = make(chan struct{})
 }
 
-// Account holds the bytes of one body. The zero value sets no bound.
+// Account holds the bytes of one request's body and answer. The zero value sets no bound.
 // Its methods may be called concurrently.
 type Account struct {
 	conn *Conn
 
-	mu   sync.Mutex
-	held int64
+	mu sync.Mutex
+	// held are the bytes of the body, answer those of the answer.
+	held, answer int64
 	// closed is set by Release, which may come while a body is still being read.
 	closed bool
 }
@@ -158,19 +161,29 @@
 }
 
 // Draw adds n bytes, or returns ErrShort. The client's connection must then be closed.
-func (a *Account) Draw(n int64) error {
+func (a *Account) Draw(n int64) error { return a.draw(forBody, n) }
+
+// DrawAnswer adds n bytes of an answer that is kept until the client has read it, or returns ErrShort. The
+// client's connection must then be closed without an answer, since the request has run.
+func (a *Account) DrawAnswer(n int64) error { return a.draw(forAnswer, n) }
+
+func (a *Account) draw(use purpose, n int64) error {
 	if a.conn == nil || n == 0 {
 		return nil
 	}
-	if err := a.conn.budget.draw(a.conn, forBody, n); err != nil {
+	if err := a.conn.budget.draw(a.conn, use, n); err != nil {
 		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
-		a.conn.budget.release(a.conn, forBody, n)
+		a.conn.budget.release(a.conn, use, n)
 		return ErrShort
 	}
+	if use == forAnswer {
+		a.answer += n
+		return nil
+	}
 	a.held += n
 	return nil
 }
@@ -181,10 +194,11 @@
 		return
 	}
 	a.mu.Lock()
-	held := a.held
-	a.held, a.closed = 0, true
+	held, answer := a.held, a.answer
+	a.held, a.answer, a.closed = 0, 0, true
 	a.mu.Unlock()
 	a.conn.budget.release(a.conn, forBody, held)
+	a.conn.budget.release(a.conn, forAnswer, answer)
 }
 
 // Refuse reports that the client of the account is refused for the cause.
--- a/internal/edge/budget/conn.go
+++ b/internal/edge/budget/conn.go
@@ -21,6 +21,8 @@
 	freeHeadBytes = 8 << 10
 	// headStepBytes is the least that is drawn for a head at once.
 	headStepBytes = 4 << 10
+	// writeStepBytes is the most that is written before it is counted.
+	writeStepBytes = 32 << 10
 )
 
 // errLongHead is returned by reads of a head over the limit.
@@ -55,7 +57,7 @@
 	phase  phase
 	// since is when the phase began.
 	since time.Time
-	// hijacked is set once the server has given the connection away.
+	// hijacked is set once the server has given the connection away. TakenOver notes its phases then.
 	hijacked bool
 	// running is the number of requests that are being handled.
 	running int
@@ -89,12 +91,39 @@
 	return n, err
 }
 
+// Write writes to the connection. What a client takes of an answer that draws from the budget counts as its
+// progress.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.budget.mu.Lock()
+	drawn := c.holder.answers > 0
+	c.budget.mu.Unlock()
+	if !drawn {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeStepBytes)])
+		written += n
+		c.budget.mu.Lock()
+		c.holder.add(int64(n), c.budget.Clock())
+		c.budget.mu.Unlock()
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // received counts bytes of a head.
 func (c *Conn) received(data []byte) error {
 	n := int64(len(data))
 	b := c.budget
 	b.mu.Lock()
 	now := b.Clock()
+	if c.hijacked {
+		c.holder.add(n, now)
+		b.mu.Unlock()
+		return nil
+	}
 	switch c.phase {
 	case phaseRunning:
 		b.mu.Unlock()
@@ -147,8 +176,10 @@
 		b.mu.Unlock()
 		return
 	}
-	// The server still reads what is left of the body before the connection is idle.
-	c.since = b.Clock()
+	if !c.hijacked {
+		// The server still reads what is left of the body before the connection is idle.
+		c.since = b.Clock()
+	}
 	drawn := c.headDrawn
 	c.headDrawn = 0
 	b.mu.Unlock()
@@ -173,25 +204,20 @@
 	}
 }
 
-// quiet reports whether the connection has no request: between two, or while none is handled on one that
-// the server has given away. The budget's lock must be held.
-func (c *Conn) quiet() bool {
-	return c.phase == phaseIdle || (c.hijacked && c.running == 0)
-}
-
 // drains reports whether the server reads what is left of a body whose request was handled. The budget's
 // lock must be held.
 func (c *Conn) drains() bool { return c.phase == phaseRunning && c.running == 0 && !c.hijacked }
 
 // interrupt lets every read fail from now on. While no request is being handled that could be answered,
-// it closes the connection.
+// it closes the connection. It also does where an answer waits for the client, and where the server has given the
+// connection away.
 func (c *Conn) interrupt() {
 	c.deadlines.Lock()
 	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.deadlines.Unlock()
 	c.budget.mu.Lock()
-	running := c.running > 0
+	running := c.running > 0 && !c.hijacked && c.holder.answers == 0
 	c.budget.mu.Unlock()
 	if !running {
 		_ = c.Close()
--- a/internal/edge/budget/ledger.go
+++ b/internal/edge/budget/ledger.go
@@ -21,6 +21,8 @@
 const (
 	forHead purpose = iota
 	forBody
+	// forAnswer counts in the groups of forBody.
+	forAnswer
 )
 
 const (
@@ -33,6 +35,9 @@
 	// connectionShare that of one connection.
 	addressShare    = 0.5
 	connectionShare = 0.25
+	// readAheadShare is the share of each group's bound up to which heads are read before earlier requests were
+	// answered: holders whose requests run can't be ended.
+	readAheadShare = 0.5
 	// freshBytes are added to the progress of each client, so that among those without any the one that
 	// holds most has the least for its bytes.
 	freshBytes = 1
@@ -44,10 +49,11 @@
 	conn    *Conn
 	class   Class
 	address string
-	// held is the number of bytes that it holds, and bodies those of them that are for bodies.
-	held, bodies int64
+	// held is the number of bytes that it holds, bodies those of them that are for bodies and answers, and
+	// answers those for answers alone.
+	held, bodies, answers int64
 	// readers is the number of its bodies that are being read, and inHead is set while it sends a
-	// head; otherwise its requests are running and it is not ended.
+	// head; otherwise, and without answers, its requests are running and it is not ended.
 	readers int
 	inHead  bool
 	// ended is set once the holder was told to end. Its bytes are counted until they are released.
@@ -56,8 +62,8 @@
 }
 
 // endable reports whether the client of h still sends a head or a body, so that none of its requests that
-// hold bytes has run.
-func (h *holder) endable() bool { return !h.ended && (h.inHead || h.readers > 0) }
+// hold bytes has run, or holds answers, so that its connection can only be closed.
+func (h *holder) endable() bool { return !h.ended && (h.inHead || h.readers > 0 || h.answers > 0) }
 
 // rank returns the progress of h for each byte that it holds or would hold with n more.
 func (h *holder) rank(n int64, now time.Time) float64 {
@@ -129,10 +135,10 @@
 // groupsOf returns the groups in which bytes of h count, the narrowest first.
 func groupsOf(h *holder, use purpose) []group {
 	list := make([]group, 0, 4)
-	if use == forBody {
+	if use != forHead {
 		list = append(list, group{kind: addressBodies, class: h.class, address: h.address})
 	}
-	if use == forBody && h.class == Callers {
+	if use != forHead && h.class == Callers {
 		list = append(list, group{kind: callerBodies})
 	}
 	if h.class == Callers {
@@ -163,7 +169,8 @@
 	}
 	groups := groupsOf(h, use)
 	if l.capacity > 0 {
-		if float64(h.held+n) > connectionShare*float64(l.capacity) {
+		// Answers of any length are served where the groups have room for them.
+		if use != forAnswer && float64(h.held-h.answers+n) > connectionShare*float64(l.capacity) {
 			l.end(h)
 			return refused, nil
 		}
@@ -177,6 +184,26 @@
 	return granted, nil
 }
 
+// readAhead books n bytes for a head if all groups are far from their bounds, and reports whether it did.
+func (l *ledger) readAhead(h *holder, n int64) bool {
+	if h.ended {
+		return false
+	}
+	if l.capacity > 0 {
+		capacity := float64(l.capacity)
+		if float64(h.held-h.answers+n) > readAheadShare*connectionShare*capacity {
+			return false
+		}
+		for _, g := range groupsOf(h, forHead) {
+			if float64(l.sums[g].all+n) > readAheadShare*g.bound()*capacity {
+				return false
+			}
+		}
+	}
+	l.book(h, forHead, n)
+	return true
+}
+
 // fit reports whether n more bytes of h are within the bound of g. If they are not, it ends the holder
 // with the least progress for its bytes, among those of the group that can be ended.
 func (l *ledger) fit(g group, h *holder, n int64, now time.Time) (answer, *holder) {
@@ -227,9 +254,12 @@
 // book adds n bytes, which may be negative, to what h holds.
 func (l *ledger) book(h *holder, use purpose, n int64) {
 	h.held += n
-	if use == forBody {
+	if use != forHead {
 		h.bodies += n
 	}
+	if use == forAnswer {
+		h.answers += n
+	}
 	for _, g := range groupsOf(h, use) {
 		s := l.sums[g]
 		s.all += n
--- a/internal/edge/budget/listener.go
+++ b/internal/edge/budget/listener.go
@@ -199,7 +199,7 @@
 		return standstill{sendsHeadSlowly, passed}
 	case c.phase == phaseNew && passed > grace:
 		return standstill{sendsNothing, passed}
-	case c.quiet() && passed > idleGrace:
+	case c.phase == phaseIdle && passed > idleGrace:
 		return standstill{isIdle, passed}
 	case c.drains() && passed > progressWindow:
 		return standstill{sendsBodySlowly, passed}
@@ -237,12 +237,15 @@
 	for _, c := range l.snapshot() {
 		l.Budget.mu.Lock()
 		sending := c.phase == phaseHead || c.phase == phaseNew || c.drains()
-		quiet, passed := c.quiet(), l.Budget.Clock().Sub(c.since)
+		idle, passed := c.phase == phaseIdle, l.Budget.Clock().Sub(c.since)
+		hijacked := c.hijacked
 		l.Budget.mu.Unlock()
 		switch {
+		case hijacked:
+			// Whoever took the connection over limits these times, and answers earlier requests first.
 		case sending && limits.HeadTime > 0 && passed > limits.HeadTime:
 			c.closeFor(CauseSlowHead)
-		case quiet && limits.IdleTime > 0 && passed > limits.IdleTime:
+		case idle && limits.IdleTime > 0 && passed > limits.IdleTime:
 			c.closeFor(CauseIdle)
 		}
 	}
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -145,7 +145,12 @@
 	// Without full duplex, an HTTP/1 server reads the rest of the request's body before it
 	// writes the answer.
 	_ = controller.EnableFullDuplex()
-	x := &exchange{entry: e, writer: w, req: req, body: body, fingerprint: arrived.Fingerprint}
+	answerAccount := account
+	if forwarded {
+		// The entry that forwarded the call draws its answer: a peer's connection isn't closed for its callers.
+		answerAccount = &budget.Account{}
+	}
+	x := &exchange{entry: e, writer: w, req: req, body: body, answers: answerAccount, fingerprint: arrived.Fingerprint}
 	x.run(arrived)
 	requestBody.Finish()
 }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -10,6 +10,8 @@
 
 	"github.com/tanagerline/tanagerline/internal/decision/loop"
 	"github.com/tanagerline/tanagerline/internal/decision/reducer"
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
+	"github.com/tanagerline/tanagerline/internal/edge/pipeline"
 	"github.com/tanagerline/tanagerline/internal/mesh/peer"
 )
 
@@ -30,6 +32,7 @@
 	writer  http.ResponseWriter
 	req     *http.Request
 	body    *requestBody
+	answers *budget.Account
 	mailbox *loop.CallMailbox
 	ctx     context.Context
 	resp    *http.Response
@@ -348,6 +351,17 @@
 	})
 }
 
+// drawAnswer draws the memory of a buffered answer, which is held until the caller has read it. Without room for
+// it, the caller's connection must be closed: the request has run.
+func (x *exchange) drawAnswer() error {
+	length := x.resp.ContentLength
+	if !x.entry.Protocol.BuffersAnswers() || length <= 0 || x.req.Method == http.MethodHead ||
+		pipeline.ExpectContent(x.writer, length) {
+		return nil
+	}
+	return x.answers.DrawAnswer(length)
+}
+
 // copyAnswer writes the answer in x.resp to the caller and reports its length in bytes and
 // whether it was complete. If the answer is truncated, the caller's connection is aborted
 // so that the caller can't take it for a complete one.
@@ -360,6 +374,11 @@
 		ended(n, err == nil)
 		return
 	}
+	if err := x.drawAnswer(); err != nil {
+		n, err := io.Copy(io.Discard, x.resp.Body)
+		ended(n, err == nil)
+		panic(http.ErrAbortHandler)
+	}
 	peer.WriteHead(x.writer, x.resp)
 	n, err := peer.RelayBody(x.writer, x.resp)
 	ended(n, err == nil)
--- a/internal/edge/pipeline/answer.go
+++ b/internal/edge/pipeline/answer.go
@@ -19,6 +19,9 @@
 	c         *connection
 	req       *http.Request
 	headBytes int64
+	// headDrawn and drawn are the bytes that are drawn for the head and for the content, expected the
+	// length that ExpectContent announced.
+	headDrawn, drawn, expected int64
 	// body is the request's body, or nil.
 	body *clientBody
 	// last is set if no request behind this one is read.
@@ -83,6 +86,10 @@
 		a.skipped += int64(len(p))
 		return len(p), nil
 	}
+	// The handler may have the whole answer while it waits below.
+	if err := a.hold(int64(len(a.content) + len(p))); err != nil {
+		return 0, err
+	}
 	if a.c.held.Load()+int64(len(p)) > a.c.maxBytes() {
 		select {
 		case <-a.front:
@@ -92,8 +99,8 @@
 	}
 	a.c.held.Add(int64(len(p)))
 	a.held += int64(len(p))
-	if a.content == nil && a.declaredLength() <= a.c.maxBytes() {
-		a.content = make([]byte, 0, max(a.declaredLength(), int64(len(p))))
+	if int64(cap(a.content)) < a.drawn {
+		a.content = append(make([]byte, 0, a.drawn), a.content...)
 	}
 	a.content = append(a.content, p...)
 	return len(p), nil
@@ -143,15 +150,33 @@
 			a.declaredLength() == int64(len(a.content))
 	}
 	a.aborted = !completed
+	if a.c.ctx.Err() != nil {
+		a.drop()
+	}
 	close(a.done)
 	a.c.work.Done()
 }
 
+// drop gives back the memory of an answer whose handler has ended and that is not written any more.
+func (a *answer) drop() {
+	a.content = nil
+	a.c.client.Release(a.headDrawn, a.drawn)
+	a.headDrawn, a.drawn = 0, 0
+}
+
+func (a *answer) dropIfDone() {
+	select {
+	case <-a.done:
+		a.drop()
+	default:
+	}
+}
+
 // release gives back what a written answer held.
 func (a *answer) release() {
 	a.c.held.Add(-a.held - a.headBytes)
+	a.drop()
 	a.c.in.answered()
-	a.content = nil
 	close(a.written)
 	a.c.free <- struct{}{}
 }
--- a/internal/edge/pipeline/connection.go
+++ b/internal/edge/pipeline/connection.go
@@ -6,10 +6,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 )
 
 const (
@@ -26,7 +29,8 @@
 type connection struct {
 	pipelines *Pipelines
 	conn      net.Conn
-	client    string
+	address   string
+	client    Client
 	in        *inbound
 	reader    *bufio.Reader
 	// ctx is the parent of the requests' contexts; it ends with the connection.
@@ -36,8 +40,14 @@
 	queue chan *answer
 	// free holds a token for each further request that may be read.
 	free chan struct{}
+	// writing is the answer whose turn it is; only the writing goroutine uses it.
+	writing *answer
 	// last is the latest request; only the reading goroutine uses it.
 	last *answer
+	// limits are those for the head that is being read, and headDrawn what was drawn since the last
+	// one; only the reading goroutine uses them.
+	limits    Limits
+	headDrawn int64
 	// held are the bytes of heads and of answers that wait for their turn.
 	held      atomic.Int64
 	readEnded atomic.Bool
@@ -46,16 +56,16 @@
 	finished chan struct{}
 }
 
-func newConnection(p *Pipelines, conn *watchedConn, first *http.Request, readAhead []byte) *connection {
+func newConnection(p *Pipelines, conn *watchedConn, first *http.Request, client Client, readAhead []byte) *connection {
 	// The contexts of net/http end with the first handler.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(first.Context()))
 	c := &connection{
-		pipelines: p, conn: conn.Conn, client: first.RemoteAddr,
-		in:  newInbound(conn.Conn, readAhead, p.IdleTime),
+		pipelines: p, conn: conn.Conn, address: first.RemoteAddr, client: client,
+		in:  newInbound(conn.Conn, client, readAhead),
 		ctx: ctx, cancel: cancel, queue: make(chan *answer, p.MaxRequests+1), free: make(chan struct{}, p.MaxRequests),
 		finished: make(chan struct{}),
 	}
-	c.reader = bufio.NewReader(c.in)
+	c.reader = bufio.NewReader(headReader{c})
 	for range p.MaxRequests {
 		c.free <- struct{}{}
 	}
@@ -92,12 +102,25 @@
 	}
 	c.abort()
 	<-c.in.ended
+	c.dropAnswers()
 	<-reading
 	c.work.Wait()
+	c.client.ReleaseAll()
 	c.pipelines.forget(c)
 	close(c.finished)
 }
 
+// dropAnswers gives back the memory of the answers that are not written any more, before the last handler has
+// ended. Those of running handlers are given back by them.
+func (c *connection) dropAnswers() {
+	if c.writing != nil {
+		c.writing.dropIfDone()
+	}
+	for a := range c.queue {
+		a.dropIfDone()
+	}
+}
+
 // abort cancels the requests and closes the connection.
 func (c *connection) abort() {
 	c.cancel()
@@ -186,6 +209,7 @@
 	a := newAnswer(c, req)
 	a.headBytes = headBytes(req)
 	c.held.Add(a.headBytes)
+	a.headDrawn, c.headDrawn = c.headDrawn, 0
 	a.last = req.Close || !req.ProtoAtLeast(1, 1) || c.stopsHere()
 	a.guardBody(req)
 	c.push(a)
@@ -203,7 +227,7 @@
 	defer func() {
 		if r := recover(); r != nil && c.pipelines.ErrorLog != nil {
 			if err, ok := r.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-				c.pipelines.ErrorLog.Printf("http: panic serving %v: %v\n%s", c.client, r, debug.Stack())
+				c.pipelines.ErrorLog.Printf("http: panic serving %v: %v\n%s", c.address, r, debug.Stack())
 			}
 		}
 		a.finish(completed)
@@ -228,6 +252,7 @@
 func (c *connection) writeAnswers() (closing bool) {
 	w := bufio.NewWriter(c.conn)
 	for a := range c.queue {
+		c.writing = a
 		close(a.front)
 		select {
 		case <-a.done:
@@ -240,7 +265,10 @@
 		closing = a.closes() || (c.readEnded.Load() && len(c.queue) == 0)
 		_ = c.conn.SetWriteDeadline(a.writeDeadline(time.Now()))
 		a.writeTo(w, closing)
-		if w.Flush() != nil {
+		if err := w.Flush(); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.client.Refuse(budget.CauseUnread)
+			}
 			return false
 		}
 		if closing {
--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -90,7 +90,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, func(p *Pipelines) {
 				if test.status == 0 {
-					p.HeaderTime, p.IdleTime = 50*time.Millisecond, 50*time.Millisecond
+					p.Limits = func() Limits {
+						return Limits{HeaderBytes: 4 << 10, HeaderTime: 50 * time.Millisecond, IdleTime: 50 * time.Millisecond}
+					}
 				}
 			})
 			k := s.dial()
--- a/internal/edge/pipeline/harness_test.go
+++ b/internal/edge/pipeline/harness_test.go
@@ -46,7 +46,7 @@
 		started: make(chan string, 100), cancelled: make(chan string, 100), asked: make(chan string, 100),
 	}
 	s.pipelines = &Pipelines{
-		Handler: http.HandlerFunc(s.serve), MaxRequests: 8, HeaderBytes: 4 << 10, HeaderTime: patience, IdleTime: patience,
+		Handler: http.HandlerFunc(s.serve), MaxRequests: 8, Limits: func() Limits { return Limits{HeaderBytes: 4 << 10, HeaderTime: patience, IdleTime: patience} },
 		MayRunAhead: func(req *http.Request) bool { s.asked <- req.URL.Path; return !s.alone(req) },
 		Stopping:    func() bool { return s.stopping.Load() > 0 },
 		ErrorLog:    log.New(&s.logged, "", 0), TakenOver: func(string) { s.takenOver.Add(1) },
--- a/internal/edge/pipeline/inbound.go
+++ b/internal/edge/pipeline/inbound.go
@@ -24,12 +24,15 @@
 // once. Its methods may be called concurrently.
 type inbound struct {
 	conn net.Conn
-	// idleTime is the timeout of a connection without an unanswered request.
-	idleTime time.Duration
+	// client is told of the activity of the connection.
+	client Client
 	// ended is closed when nothing more is read from the connection.
 	ended chan struct{}
 
 	mu       sync.Mutex
+	activity activity
+	// idleTime is the timeout while no request is unanswered and none has begun to arrive.
+	idleTime time.Duration
 	changed  sync.Cond
 	data     []byte
 	err      error
@@ -45,8 +48,8 @@
 	discarding bool
 }
 
-func newInbound(conn net.Conn, readAhead []byte, idleTime time.Duration) *inbound {
-	in := &inbound{conn: conn, data: append([]byte(nil), readAhead...), idleTime: idleTime, ended: make(chan struct{})}
+func newInbound(conn net.Conn, client Client, readAhead []byte) *inbound {
+	in := &inbound{conn: conn, data: append([]byte(nil), readAhead...), client: client, ended: make(chan struct{})}
 	in.changed.L = &in.mu
 	return in
 }
@@ -131,15 +134,17 @@
 
 // awaitHead starts waiting for a head of limited length. The idle timeout holds while no request
 // is unanswered.
-func (in *inbound) awaitHead(headerBytes int) {
+func (in *inbound) awaitHead(limits Limits) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.inHead, in.awaiting = true, true
-	in.left = int64(headerBytes) + headSlackBytes
+	in.left = int64(limits.HeaderBytes) + headSlackBytes
+	in.idleTime = limits.IdleTime
 	in.setDeadline(time.Time{})
 	if in.unanswered == 0 {
 		in.setDeadline(time.Now().Add(in.idleTime))
 	}
+	in.noteActivity()
 }
 
 // startHead ends the waiting: the rest of the head must arrive by the deadline.
@@ -148,6 +153,7 @@
 	defer in.mu.Unlock()
 	in.awaiting = false
 	in.setDeadline(deadline)
+	in.noteActivity()
 }
 
 // endHead ends the head and reports whether its limit was reached.
@@ -156,6 +162,7 @@
 	defer in.mu.Unlock()
 	in.inHead, in.awaiting = false, false
 	in.setDeadline(time.Time{})
+	in.noteActivity()
 	return in.left <= 0
 }
 
@@ -164,6 +171,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.unanswered++
+	in.noteActivity()
 }
 
 func (in *inbound) answered() {
@@ -173,6 +181,46 @@
 	if in.unanswered == 0 && in.awaiting {
 		in.setDeadline(time.Now().Add(in.idleTime))
 	}
+	in.noteActivity()
+}
+
+// activity is what the client of a connection does.
+type activity int
+
+const (
+	activityRunning activity = iota
+	activityHead
+	activityIdle
+)
+
+// noteActivity tells the client's activity where it has changed.
+func (in *inbound) noteActivity() {
+	present := activityIdle
+	switch {
+	case in.unanswered > 0:
+		present = activityRunning
+	case in.inHead && !in.awaiting:
+		present = activityHead
+	}
+	if present == in.activity {
+		return
+	}
+	in.activity = present
+	switch present {
+	case activityRunning:
+		in.client.NoteRunning()
+	case activityHead:
+		in.client.NoteHead()
+	case activityIdle:
+		in.client.NoteIdle()
+	}
+}
+
+// readsHead reports whether what is read belongs to a head.
+func (in *inbound) readsHead() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.inHead
 }
 
 // SetReadDeadline sets the deadline for reading a body.
--- a/internal/edge/pipeline/pipelines.go
+++ b/internal/edge/pipeline/pipelines.go
@@ -6,7 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
+
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 )
 
 // defaultMaxBytes is the default of Pipelines.MaxBytes: eight heads and short answers fit in it.
@@ -27,11 +28,11 @@
 	// MaxBytes is the limit on the bytes of heads and waiting answers per connection from which
 	// on no further request is started; zero selects 256 KiB.
 	MaxBytes int64
-	// HeaderBytes limits a request's head, HeaderTime the time in which it must arrive.
-	HeaderBytes int
-	HeaderTime  time.Duration
-	// IdleTime is the timeout of a connection without an unanswered request.
-	IdleTime time.Duration
+	// Limits returns the present limits on connections. Each head is read within those that were in force
+	// when it was first waited for.
+	Limits func() Limits
+	// Client returns the client whose request has the context; nil sets no bound on memory.
+	Client func(ctx context.Context) Client
 	// ErrorLog logs panics of Handler.
 	ErrorLog *log.Logger
 	// TakenOver is called with the client's address when its connection is taken over from
@@ -96,15 +97,21 @@
 	if s.started || s.finished || s.answer != nil || p.isStopped() {
 		return
 	}
+	client := p.client(s.req.Context())
+	if !client.DrawReadAhead(connectionBytes) {
+		// The client's requests run one after the other, as without a takeover.
+		return
+	}
 	header := s.ResponseWriter.Header()
 	_, buffered, err := http.NewResponseController(s.ResponseWriter).Hijack()
 	if err != nil {
 		// net/http has given the connection up, too.
+		client.ReleaseAll()
 		_ = conn.Close()
 		return
 	}
 	readAhead, _ := buffered.Peek(buffered.Reader.Buffered())
-	c := newConnection(p, conn, s.req, readAhead)
+	c := newConnection(p, conn, s.req, client, readAhead)
 	s.answer = c.begin(s.req, s.cancel)
 	s.answer.header, s.answer.writeBy = header, s.writeBy
 	p.track(c)
@@ -114,6 +121,13 @@
 	go c.run()
 }
 
+func (p *Pipelines) client(ctx context.Context) Client {
+	if p.Client == nil {
+		return &budget.TakenOver{}
+	}
+	return p.Client(ctx)
+}
+
 func (p *Pipelines) isStopped() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -166,6 +180,23 @@
 	return ok
 }
 
+// ExpectContent tells the answer to a pipelined request the length of its content, so that the memory for
+// it is drawn before the first byte is written. It reports false for answers that net/http writes, whose memory
+// the handler draws.
+func ExpectContent(w http.ResponseWriter, length int64) bool {
+	a, _ := w.(*answer)
+	if s, ok := w.(*switchWriter); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		a = s.answer
+	}
+	if a == nil {
+		return false
+	}
+	a.expected = length
+	return true
+}
+
 // withoutBody reports whether a request has a method and a head by which it may run beside others.
 func withoutBody(req *http.Request) bool {
 	return (req.Method == http.MethodGet || req.Method == http.MethodHead) && req.ProtoAtLeast(1, 1) &&
--- a/internal/edge/pipeline/request.go
+++ b/internal/edge/pipeline/request.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 )
 
 // headProblem is a fault of a request's head that the client is told of.
@@ -30,27 +34,40 @@
 // readRequest reads the next request's head within the limits of the listener. The request is nil
 // if there is none.
 func (c *connection) readRequest() (*http.Request, *headProblem) {
-	c.in.awaitHead(c.pipelines.HeaderBytes)
+	c.limits = c.pipelines.Limits()
+	c.in.awaitHead(c.limits)
 	if c.last.req.Method == http.MethodPost {
 		skipEmptyLines(c.reader)
 	}
 	if _, err := c.reader.Peek(1); err != nil {
 		c.in.endHead()
+		c.noteTimeout(err, budget.CauseIdle)
 		return nil, nil
 	}
-	c.in.startHead(time.Now().Add(c.pipelines.HeaderTime))
+	c.in.startHead(time.Now().Add(c.limits.HeaderTime))
 	req, err := http.ReadRequest(c.reader)
 	tooLong := c.in.endHead()
+	if tooLong {
+		c.client.Refuse(budget.CauseLongHead)
+	}
 	if err != nil {
+		c.noteTimeout(err, budget.CauseSlowHead)
 		return nil, describe(err, tooLong)
 	}
 	if problem := checkHead(req); problem != nil {
 		return nil, problem
 	}
-	req.RemoteAddr = c.client
+	req.RemoteAddr = c.address
 	return req, nil
 }
 
+// noteTimeout reports the cause if reading failed because its time was over.
+func (c *connection) noteTimeout(err error, cause budget.Cause) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.client.Refuse(cause)
+	}
+}
+
 // skipEmptyLines skips what some old clients send behind a body; net/http skips as much.
 func skipEmptyLines(r *bufio.Reader) {
 	const maxSkippedBytes = 4
@@ -69,6 +86,8 @@
 	switch {
 	case tooLong:
 		return newHeadProblem(http.StatusRequestHeaderFieldsTooLarge, "")
+	case errors.Is(err, budget.ErrShort), errors.Is(err, context.Canceled):
+		return nil
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errStopped), errors.As(err, &network):
 		return nil
 	default:
--- a/internal/edge/pipeline/watchedconn.go
+++ b/internal/edge/pipeline/watchedconn.go
@@ -44,7 +44,7 @@
 }
 
 // NetConn returns the connection that is watched.
-func (c *watchedConn) NetConn() net.Conn { return c.Conn }
+func (w *watchedConn) NetConn() net.Conn { return w.Conn }
 
 // Read reads for net/http.
 func (w *watchedConn) Read(p []byte) (int, error) {
--- a/internal/mesh/node/clients.go
+++ b/internal/mesh/node/clients.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// pipelineLimits returns the limits on callers' connections with pipelined requests. Without a takeover, a head is
+// limited by the settings and by the plan, too.
+func (c *clients) pipelineLimits() pipeline.Limits {
+	limits := c.callerLimits()
+	headerBytes := c.node.Settings.Limits.HeaderBytes
+	if limits.HeadBytes > 0 {
+		headerBytes = min(headerBytes, int(limits.HeadBytes))
+	}
+	return pipeline.Limits{HeaderBytes: headerBytes, HeaderTime: limits.HeadTime, IdleTime: limits.IdleTime}
+}
+
 // wholeBodies limits the bodies that a handler collects in memory, if the memory is bounded.
 func (c *clients) wholeBodies(next http.Handler) http.Handler {
 	if !c.budget.Bounded() {
--- a/internal/mesh/node/pipelines.go
+++ b/internal/mesh/node/pipelines.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tanagerline/tanagerline/internal/edge/budget"
 	"github.com/tanagerline/tanagerline/internal/edge/pipeline"
 )
 
@@ -21,7 +22,8 @@
 	n.pipelines = &pipeline.Pipelines{
 		Handler: n.entry.Handler(), MayRunAhead: n.entry.MayRunAhead, Stopping: n.stopping.Load,
 		MaxRequests: limits.PipelinedRequests, MaxBytes: limits.PipelinedBytes,
-		HeaderBytes: limits.HeaderBytes, HeaderTime: limits.HeaderTime, IdleTime: limits.IdleTime,
+		Limits:   n.clients.pipelineLimits,
+		Client:   func(ctx context.Context) pipeline.Client { return budget.TakeOver(ctx) },
 		ErrorLog: n.Logger.Std("", 0), TakenOver: n.noteTakeover,
 	}
 	return n.pipelines
--- a/internal/mesh/node/pipelines_test.go
+++ b/internal/mesh/node/pipelines_test.go
@@ -30,7 +30,9 @@
 			<-release
 		}),
 		MayRunAhead: func(*http.Request) bool { return true }, Stopping: n.stopping.Load, MaxRequests: 8,
-		HeaderBytes: 4 << 10, HeaderTime: time.Minute, IdleTime: time.Minute,
+		Limits: func() pipeline.Limits {
+			return pipeline.Limits{HeaderBytes: 4 << 10, HeaderTime: time.Minute, IdleTime: time.Minute}
+		},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
