--- a/internal/proof/untrusted/pipeline_test.go
+++ b/internal/proof/untrusted/pipeline_test.go
@@ -3,12 +3,17 @@
 package untrusted
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // pipelinedRequests is the number of requests that a client of a crowd pipelines.
@@ -72,3 +77,21 @@
 		}
 	})
 }
+
+// Guards against a plan's limit on heads that no longer holds once a client has pipelined: the head is over the
+// limit of the plan and below that of the settings, and never complete.
+func TestPlanLimitsPipelinedHeads(t *testing.T) {
+	p := startNode(t, crowdLimits)
+	conn, err := net.Dial("tcp", p.callers)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, reads("/read/", 0, 2)+"GET /read/long HTTP/1.1\r\nX-Filler: "+strings.Repeat("f", 2*maxHeaderBytes))
+	reader := bufio.NewReader(conn)
+	for _, status := range []int{http.StatusOK, http.StatusOK, http.StatusRequestHeaderFieldsTooLarge} {
+		resp, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		qt.Check(t, resp.StatusCode, qt.Equals, status)
+	}
+}
