--- a/internal/edge/budget/takenover_test.go
+++ b/internal/edge/budget/takenover_test.go
@@ -84,6 +84,11 @@
 	qt.Check(t, inner.closed, qt.IsFalse)
 	// It doesn't make way for others either before it is idle.
 	qt.Check(t, c.listener.victim(nil), qt.IsNil)
+	// Its head and idle times are limited by whoever took it over.
+	client.NoteHead()
+	now = now.Add(11 * time.Second)
+	c.listener.sweep()
+	qt.Check(t, inner.closed, qt.IsFalse)
 	client.NoteIdle()
 	now = now.Add(idleGrace + time.Second)
 	qt.Check(t, c.listener.victim(nil) == c, qt.IsTrue)
--- a/internal/edge/pipeline/client_test.go
+++ b/internal/edge/pipeline/client_test.go
@@ -127,6 +127,11 @@
 	}
 	s.release("/a")
 	k.expect(strings.Repeat("x", content), strings.Repeat("x", content))
+	// Answers and heads are given back once they were written, while the connection stays open.
+	for end := time.Now().Add(patience); f.held() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.c.Check(f.held(), qt.Equals, int64(0))
 	_ = k.closeWrite()
 	s.shutdown()
 	s.c.Check(f.mostHeads > connectionBytes+3<<10, qt.IsTrue, qt.Commentf("%d bytes", f.mostHeads))
