Send a second attempt beside a silent first one

Cause: an upstream that is slow or mute for one request costs its call the tail latency, or the deadline, although others have free slots. Change: package hedging estimates the latency that 95% of a route's answered attempts stay below, and bounds hedges to the operator's share of the route's requests and to half of the retry budget. The reducer starts a second attempt of idempotent, buffered, caller-made calls at an upstream of the own region with a free slot, takes the first answer below 500 and cancels the other attempt. Attempts of calls that may be hedged run in goroutines; all others run as before. Settings that are no number (NaN) are reported now instead of accepted.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -361,6 +361,9 @@
 		return
 	}
 	failed := e.Outcome != OutcomeRan || e.Status >= 500
+	if r.canceledInTime(w, e) {
+		return
+	}
 	a.recordResult(failed, r.now)
 	if !failed {
 		a.recordServiceTime(w, r.now.Sub(w.started))
--- a/internal/decision/reducer/call.go
+++ b/internal/decision/reducer/call.go
@@ -58,6 +58,20 @@
 	busyGuards []*peer
 	mayWait    bool
 	attempt    *attempt
+	// hedgeable is set if a second attempt may run beside the first. hedged is set once it was sent,
+	// and hedgeWithheld once it was withheld.
+	hedgeable     bool
+	hedged        bool
+	hedgeWithheld bool
+	// quarantined is set once a guard refused one of a hedged call's two attempts as quarantined.
+	quarantined bool
+	// other is the other attempt in flight of a hedged call, or nil. An event about it makes it the
+	// current attempt.
+	other *attempt
+	// held is the attempt of a hedged call whose answer is kept back because it has the status
+	// heldStatus, an error, while the other attempt is in flight, or nil.
+	held       *attempt
+	heldStatus int
 	// heldKey is the key's record while this call holds the key open, or nil.
 	heldKey *keyRecord
 }
@@ -71,6 +85,17 @@
 	started time.Time
 	replay  bool
 	ended   bool
+	// hedge is set for a second attempt that was started beside the first.
+	hedge bool
+}
+
+// end removes the attempt from its peer's attempts in flight.
+func (a *attempt) end() {
+	if a.ended || a.replay {
+		return
+	}
+	a.ended = true
+	a.peer.attemptEnded(a.length, a.started)
 }
 
 func (c *call) hasTried(p *peer) bool { return slices.Contains(c.tried, p) }
@@ -160,6 +185,9 @@
 	}
 	r.trace.clearCandidates()
 	p := r.pickUpstream(c)
+	if p == nil || c.mayWait {
+		r.noteShortCapacity(c)
+	}
 	if p == nil {
 		r.trace.add(r.now, c, nil, TraceNoUpstream)
 		r.rejectNotRun(c, r.problemWithoutUpstream(c))
@@ -190,7 +218,7 @@
 		Kind: c.kind.kind.Name, Length: c.attempt.length, Keyed: c.keyed, Deadline: c.deadline,
 		Retries: c.retriesLeft, Replay: c.attempt.replay, Repeat: c.sends > 0, Fingerprint: c.fingerprint,
 		RefuseIfBusy: r.refuseIfBusy(c), Service: c.service, Objective: c.objective, RequestID: c.requestID,
-		Tenant: c.tenantName(), HideCredentials: c.hideCredentials,
+		Tenant: c.tenantName(), HideCredentials: c.hideCredentials, HedgeAt: r.hedgeTime(c),
 	}
 }
 
@@ -216,17 +244,22 @@
 // endAttempt removes the attempt from its peer's attempts in flight.
 func (r *Reducer) endAttempt(c *call) {
 	a := c.attempt
-	if a == nil || a.ended || a.replay {
-		return
+	if a != nil {
+		a.end()
 	}
-	a.ended = true
-	a.peer.attemptEnded(a.length, a.started)
 }
 
-// callInFlight returns the call whose attempt in flight has the given ID, or nil.
+// callInFlight returns the call whose attempt in flight has the given ID, or nil. That attempt
+// becomes the call's current one.
 func (r *Reducer) callInFlight(id CallID, attempt AttemptID) *call {
 	c := r.calls[id]
-	if c == nil || c.attempt == nil || c.attempt.id != attempt {
+	if c == nil || c.attempt == nil {
+		return nil
+	}
+	if c.other != nil && c.other.id == attempt {
+		c.attempt, c.other = c.other, c.attempt
+	}
+	if c.attempt.id != attempt {
 		return nil
 	}
 	return c
@@ -261,8 +294,12 @@
 	if c == nil || c.answered {
 		return
 	}
-	inFlight := c.attempt != nil && !c.attempt.ended
+	if r.relayHeld(c) {
+		return
+	}
+	inFlight := (c.attempt != nil && !c.attempt.ended) || c.other != nil
 	r.endAttempt(c)
+	r.endOther(c)
 	switch {
 	case c.heldKey != nil:
 		r.rejectDoubtful(c)
@@ -280,6 +317,7 @@
 		return
 	}
 	r.endAttempt(c)
+	r.endOther(c)
 	if c.heldKey != nil {
 		if c.answered {
 			r.closeKey(c, keyStateRan)
@@ -348,6 +386,10 @@
 // that is unknown or has no deadline.
 func (r *Reducer) CallDeadline(id CallID) time.Time {
 	if c := r.calls[id]; c != nil && !c.deadline.IsZero() {
+		if c.held != nil {
+			// An answer that waits for a better one still has to reach the caller in time.
+			return c.deadline.Add(-returnAllowance)
+		}
 		return c.deadline
 	}
 	return r.now
--- a/internal/decision/reducer/decided.go
+++ b/internal/decision/reducer/decided.go
@@ -15,6 +15,14 @@
 	DecisionAttemptSettled DecisionKind = "attempt-settled"
 	DecisionCallRejected   DecisionKind = "call-rejected"
 	DecisionCallerLeft     DecisionKind = "caller-left"
+	// DecisionHedgeSent reports a second attempt beside the first: Reason is "other-zone" or
+	// "same-zone", as seen from the first attempt's upstream.
+	DecisionHedgeSent DecisionKind = "hedge-sent"
+	// DecisionHedgeWithheld reports why a call that became due was not hedged, once for each call.
+	DecisionHedgeWithheld DecisionKind = "hedge-withheld"
+	// DecisionHedgeEnded reports which attempt answered a hedged call: Reason is "won-by-first" or
+	// "won-by-hedge".
+	DecisionHedgeEnded DecisionKind = "hedge-ended"
 )
 
 // The decisions of the guard role about an attempt.
@@ -92,6 +100,8 @@
 	RegionsLimited bool
 	// Cold is set if the upstream is cold and its requests are bounded.
 	Cold bool
+	// AnsweredBy is "first" or "hedge", the attempt that answered a call that may be hedged, or empty.
+	AnsweredBy string
 	// Skipped is the number of answers to other requests that came before the attempt's.
 	Skipped int
 }
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -139,6 +139,11 @@
 		// HideCredentials means that the request is sent without the caller's access key and
 		// without a tenant of the caller's own choice.
 		HideCredentials bool
+		// HedgeAt is when HedgeDue is to be reported if the attempt is not over by then, or zero.
+		// The attempt runs beside the handler then, so that a second one can be started.
+		HedgeAt time.Time
+		// Hedge means that the attempt is a second one beside the first.
+		Hedge bool
 	}
 
 	// ForwardCall forwards the call's request to the node that is the home of its key.
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -83,6 +83,9 @@
 		AccessKeyDigest string
 		// Internal means that the upstream on this VM sent the request while it ran another one.
 		Internal bool
+		// BodyBuffered means that the request has no body or one that is kept whole, so that
+		// two attempts can send it at the same time.
+		BodyBuffered bool
 	}
 
 	// AttemptAnswered reports the head of an answer that carries the attempt's ID.
@@ -221,6 +224,8 @@
 		// PacePercent is the upstream's current service time in percent of the usual one, or
 		// zero if the upstream does not report it.
 		PacePercent int
+		// RequesterLeft means that the attempt was canceled by its requester.
+		RequesterLeft bool
 	}
 
 	// WorkLeft reports that the requester of an attempt no longer waits for it.
--- a/internal/decision/reducer/outcome.go
+++ b/internal/decision/reducer/outcome.go
@@ -8,16 +8,27 @@
 		return
 	}
 	a := c.attempt
-	c.answered = true
 	c.status = e.Status
 	if !a.replay {
+		r.recordLatency(c, e.Status)
 		failed := e.Status >= 500
 		a.peer.recordReport(e.Load, r.now, r.Settings.ReportPeriod)
 		a.peer.recordAnswer(r.now, a.length, r.now.Sub(a.started)-e.Load.waited, failed, r.medianServiceTime(c.service))
 	}
 	r.askForPlan(a.peer, e.Load.planOffset)
 	r.trace.add(r.now, c, a.peer, TraceAnswered)
-	r.noteCallDecision(DecisionCallAnswered, c, Decision{Status: e.Status})
+	if !r.holdAnswer(c) {
+		r.relay(c)
+	}
+}
+
+// relay passes the answer of the call's current attempt on to the caller.
+func (r *Reducer) relay(c *call) {
+	a := c.attempt
+	c.answered = true
+	r.cancelOther(c)
+	r.noteCallDecision(DecisionCallAnswered, c, Decision{Status: c.status, AnsweredBy: c.answeredBy()})
+	r.noteHedgeEnded(c)
 	r.emit(RelayAnswer{Call: c.id, Attempt: a.id, Key: c.key, Target: a.target})
 }
 
@@ -38,6 +49,12 @@
 	}
 	r.updatePeerAfterRefusal(a.peer, e)
 	c.refusedBusy = c.refusedBusy || e.Reason == RefusalBusy
+	if e.Reason == RefusalShed {
+		r.noteShortCapacity(c)
+	}
+	if r.continueWithOther(c, e.Reason) {
+		return
+	}
 	if e.Reason == RefusalQuarantined {
 		r.rejectNotRun(c, ProblemQuarantined)
 		return
@@ -87,6 +104,9 @@
 		failed := r.now.Before(c.deadline)
 		a.peer.recordAnswer(r.now, a.length, r.now.Sub(a.started), failed, r.medianServiceTime(c.service))
 	}
+	if r.continueWithOther(c, "") {
+		return
+	}
 	switch {
 	case a.replay:
 		r.reject(c, OutcomeUnknown, ProblemAnswerLost)
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -49,7 +49,9 @@
 	routes        routeTable
 	// routedRetryBudgets holds the retry budgets of routed calls, and retries that of all others.
 	routedRetryBudgets retryBudgets
-	reportSchedule     reportSchedule
+	// shortUntil holds, by service, until when its calls are not hedged for want of capacity.
+	shortUntil     map[string]time.Time
+	reportSchedule reportSchedule
 	// plansReachable reports whether the plan store is reachable.
 	plansReachable bool
 
@@ -123,7 +125,7 @@
 	clear(r.effects)
 	r.effects = r.effects[:0]
 	switch e := event.(type) {
-	case CallArrived, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
+	case CallArrived, HedgeDue, AttemptAnswered, AttemptRefused, AttemptLost, AttemptSettled, AnswerEnded,
 		CallerLeft, CallExpired, CallEnded, HomeAnswered, HomeRefused, HomeLost, KeysRequested:
 		r.stepEntry(e)
 	case WorkArrived, BodyReceived, WorkEnded, WorkLeft, SettleRequested, UpstreamAnnounced, UpstreamLeft, UpstreamFound, UpstreamDied, UpstreamReplaced, ProbeEnded, WarmupAnswered:
@@ -158,6 +160,7 @@
 	r.suspects.init()
 	r.burn.init()
 	r.routedRetryBudgets.init(now)
+	r.shortUntil = map[string]time.Time{}
 	r.announceSchedule.due = now
 	r.members.exchangeDue = now
 }
@@ -166,6 +169,8 @@
 	switch e := event.(type) {
 	case CallArrived:
 		r.callArrived(e)
+	case HedgeDue:
+		r.hedgeDue(e)
 	case AttemptAnswered:
 		r.attemptAnswered(e)
 	case AttemptRefused:
--- a/internal/decision/reducer/retrybudget.go
+++ b/internal/decision/reducer/retrybudget.go
@@ -83,17 +83,28 @@
 // spendRoutedRetry takes one more arrival at an upstream from the budget of the call's service and
 // reports whether the budget allowed it.
 func (r *Reducer) spendRoutedRetry(c *call) bool {
-	window := r.retryWindowOf(c.service)
-	requests, repeats := window.total()
-	// The fixed share grows over the first window, so that a restarted process does not spend
-	// it twice.
-	age := min(1, float64(r.now.Sub(r.routedRetryBudgets.started))/float64(r.Settings.SharedRetryWindow))
-	fixed := age * fixedBudgetShare * float64(r.Settings.SharedRetries) / float64(max(1, len(r.members.order)))
-	if repeats+1 > fixed+earnedBudgetShare*r.Settings.RetryShare*float64(requests) {
+	if spent, allowed := r.retryBudget(c); spent+1 > allowed {
 		r.counts.RetriesDenied++
 		return false
 	}
-	window.repeats[window.newestSlice%retryWindowSlices]++
+	r.countRepeat(c)
 	r.counts.Retries++
 	return true
 }
+
+// retryBudget returns the arrivals beyond the first of each request that the entry has caused in the
+// window at the call's service, and those that it may cause.
+func (r *Reducer) retryBudget(c *call) (spent, allowed float64) {
+	requests, repeats := r.retryWindowOf(c.service).total()
+	// The fixed share grows over the first window, so that a restarted process does not spend
+	// it twice.
+	age := min(1, float64(r.now.Sub(r.routedRetryBudgets.started))/float64(r.Settings.SharedRetryWindow))
+	fixed := age * fixedBudgetShare * float64(r.Settings.SharedRetries) / float64(max(1, len(r.members.order)))
+	return repeats, fixed + earnedBudgetShare*r.Settings.RetryShare*float64(requests)
+}
+
+// countRepeat counts an arrival beyond the first of a request at the call's service.
+func (r *Reducer) countRepeat(c *call) {
+	window := r.retryWindowOf(c.service)
+	window.repeats[window.newestSlice%retryWindowSlices]++
+}
--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -61,6 +61,7 @@
 	// longestTimeoutAt.
 	longestTimeout   time.Duration
 	longestTimeoutAt time.Time
+	hedging          routeHedging
 }
 
 const (
--- a/internal/decision/reducer/routed.go
+++ b/internal/decision/reducer/routed.go
@@ -29,6 +29,7 @@
 	r.resolveRegions(c)
 	c.keyed = !c.route.route.Idempotent
 	r.earnRoutedRetry(c.service)
+	r.prepareHedging(c, e)
 	if r.suspects.quarantined(c.fingerprint) {
 		r.reject(c, OutcomeNotRun, ProblemQuarantined)
 		return
@@ -51,7 +52,7 @@
 	if reason == RefusalBusy {
 		c.busyGuards = append(c.busyGuards, c.attempt.peer)
 	}
-	again := !bodySpent && !c.callerLeft && r.now.Before(c.deadline)
+	again := !bodySpent && !c.callerLeft && !c.quarantined && r.now.Before(c.deadline)
 	switch reason {
 	case RefusalShed:
 		c.sends++
@@ -85,7 +86,7 @@
 		r.settle(c, c.attempt.started)
 	case c.keyed:
 		r.rejectDoubtful(c)
-	case c.callerLeft || e.BodySpent || !r.now.Before(c.deadline) || r.suspects.quarantined(c.fingerprint):
+	case c.callerLeft || e.BodySpent || !r.now.Before(c.deadline) || c.quarantined || r.suspects.quarantined(c.fingerprint):
 		r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
 	case !r.takeRoutedRetry(c):
 		r.reject(c, OutcomeUnknown, r.problemAfterLoss(c))
--- a/internal/decision/reducer/settings.go
+++ b/internal/decision/reducer/settings.go
@@ -33,6 +33,9 @@
 	// MaxRetries limits the retries of one call. Routed calls are limited by MaxAttempts of
 	// their route instead.
 	MaxRetries int
+	// HedgeShare is the number of hedges, second attempts beside the first, that each request of
+	// an idempotent route adds to the route's limit; zero turns hedging off.
+	HedgeShare float64
 	// KeyWindow is how long a home remembers an idempotency key.
 	KeyWindow time.Duration
 	// ClockSkew is the assumed maximum difference between the clocks of two VMs.
--- a/internal/edge/caller/entry.go
+++ b/internal/edge/caller/entry.go
@@ -119,6 +119,7 @@
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	arrived.Fingerprint = fingerprint(req, body)
+	arrived.BodyBuffered = body.fullyBuffered
 	if forwarded {
 		// The entry that forwarded the call computed the fingerprint of the original request.
 		if forwardedFingerprint, err := strconv.ParseUint(req.Header.Get(peer.HeaderFingerprint), 16, 64); err == nil {
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -35,6 +35,8 @@
 	resp    *http.Response
 
 	fingerprint uint64
+	// hedging runs the attempts of a call that may be hedged, or is nil.
+	hedging *hedgedAttempts
 }
 
 // run submits the call to the loop and executes its effects until the call is over.
@@ -57,6 +59,7 @@
 	remaining := x.entry.Loop.CallDeadline(x.mailbox).Sub(x.entry.Loop.Clock())
 	_ = controller.SetWriteDeadline(time.Now().Add(remaining + answerWriteGrace))
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	defer x.closeHedged()
 	for !x.applyEffect(x.nextEffect()) {
 		continue
 	}
@@ -70,6 +73,9 @@
 		return effect
 	default:
 	}
+	if x.hedging.inFlight() {
+		return x.nextHedgedEffect()
+	}
 	expires := x.entry.Loop.CallDeadline(x.mailbox)
 	timer := time.NewTimer(expires.Sub(x.entry.Loop.Clock()))
 	defer timer.Stop()
@@ -80,6 +86,11 @@
 		return nil
 	case <-timer.C:
 	}
+	return x.expire()
+}
+
+// expire reports that the call's deadline has passed, and returns the effect that follows, or nil.
+func (x *exchange) expire() reducer.CallEffect {
 	x.entry.Loop.Do(reducer.CallExpired{Call: x.mailbox.ID()})
 	select {
 	case effect := <-x.mailbox.Effects():
@@ -94,14 +105,25 @@
 func (x *exchange) applyEffect(effect reducer.CallEffect) bool {
 	switch e := effect.(type) {
 	case reducer.SendAttempt:
+		if e.Hedge || !e.HedgeAt.IsZero() {
+			x.startHedged(e)
+			return false
+		}
 		x.sendAttempt(e)
 		return false
+	case reducer.PostponeHedge:
+		x.hedging.postpone(e)
+		return false
+	case reducer.CancelAttempt:
+		x.hedging.cancel(e.Attempt)
+		return false
 	case reducer.SettleAttempt:
 		x.settleAttempt(e)
 		return false
 	case reducer.ForwardCall:
 		return x.forwardCall(e)
 	case reducer.RelayAnswer:
+		x.takeHedgedAnswer(e.Attempt)
 		x.relayAnswer(e)
 		return true
 	case reducer.RejectCall:
@@ -118,7 +140,22 @@
 
 // sendAttempt sends one attempt and reports its result to the reducer.
 func (x *exchange) sendAttempt(e reducer.SendAttempt) {
-	ctx, cancel := x.entry.Loop.WithDeadline(x.ctx, e.Deadline)
+	result := x.runAttempt(x.ctx, e)
+	if result.resp != nil {
+		x.resp = result.resp
+	}
+	x.entry.Loop.Do(result.event)
+}
+
+// attemptResult is the result of an attempt: the event that reports it, and the answer or nil.
+type attemptResult struct {
+	event reducer.Event
+	resp  *http.Response
+}
+
+// runAttempt sends one attempt and returns its result.
+func (x *exchange) runAttempt(ctx context.Context, e reducer.SendAttempt) attemptResult {
+	ctx, cancel := x.entry.Loop.WithDeadline(ctx, e.Deadline)
 	traced, connected := peer.TraceConnection(ctx)
 	out := x.newRequest(e.Target, e.Deadline, e.Retries).WithContext(traced)
 	h := out.Header
@@ -168,22 +205,22 @@
 	resp, err := transport.RoundTrip(out)
 	if err != nil {
 		cancel()
-		x.entry.Loop.Do(reducer.AttemptLost{
+		return attemptResult{event: reducer.AttemptLost{
 			Call: e.Call, Attempt: e.Attempt, Sent: connected.Load(), BodySpent: x.body.endAttempt(),
-		})
-		return
+		}}
 	}
 	resp.Body = &cancelingBody{ReadCloser: resp.Body, cancel: cancel}
-	x.reportAnswer(e, resp)
+	return x.classifyAnswer(e, resp)
 }
 
-// reportAnswer reports an attempt's answer to the reducer.
-func (x *exchange) reportAnswer(e reducer.SendAttempt, resp *http.Response) {
+// classifyAnswer returns the result of an attempt that got an answer.
+func (x *exchange) classifyAnswer(e reducer.SendAttempt, resp *http.Response) attemptResult {
 	if resp.Header.Get(peer.HeaderAttempt) != string(e.Attempt) {
 		// The answer is not the guard's answer to this attempt, so the outcome is unknown.
 		_ = resp.Body.Close()
-		x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
-		return
+		return attemptResult{event: reducer.AttemptLost{
+			Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt(),
+		}}
 	}
 	load, err := reducer.ParseLoadReport(resp.Header.Get(peer.HeaderLoad))
 	if err != nil {
@@ -194,28 +231,28 @@
 	case outcome == reducer.OutcomeRan:
 		if x.entry.Protocol.BuffersAnswers() && peer.ReadWhole(resp) != nil {
 			// A truncated answer may be retried: nothing of it has been sent to the caller.
-			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
-			return
+			return attemptResult{event: reducer.AttemptLost{
+				Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt(),
+			}}
 		}
-		x.resp = resp
-		x.entry.Loop.Do(reducer.AttemptAnswered{
+		return attemptResult{resp: resp, event: reducer.AttemptAnswered{
 			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
-		})
+		}}
 	case outcome == reducer.OutcomeNotRun, e.Replay && reason != "":
 		// A refused replay has a reason, too, whatever became of the attempt.
 		drain(resp)
-		x.entry.Loop.Do(reducer.AttemptRefused{
+		return attemptResult{event: reducer.AttemptRefused{
 			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(), Reason: reason,
-		})
+		}}
 	default:
 		drain(resp)
 		crash, err := strconv.ParseUint(resp.Header.Get(peer.HeaderCrash), 16, 64)
 		if err != nil {
 			crash = 0
 		}
-		x.entry.Loop.Do(reducer.AttemptLost{
+		return attemptResult{event: reducer.AttemptLost{
 			Call: e.Call, Attempt: e.Attempt, Sent: true, Dispatched: true, Crash: crash, BodySpent: x.body.endAttempt(),
-		})
+		}}
 	}
 }
 
--- a/internal/edge/upstream/running.go
+++ b/internal/edge/upstream/running.go
@@ -36,6 +36,8 @@
 	status int
 	// skipped is the number of answers to other requests that came before this attempt's.
 	skipped int
+	// requesterLeft reports that the requester canceled the attempt before its deadline.
+	requesterLeft bool
 
 	resp *http.Response
 	body io.ReadCloser
@@ -109,6 +111,7 @@
 	if ctx.Err() == nil && !errors.Is(err, errMismatchedAnswer) && !errors.Is(err, errUnidentifiedAnswer) {
 		r.reportDeath()
 	}
+	r.requesterLeft = errors.Is(ctx.Err(), context.Canceled)
 	r.endWork(reducer.OutcomeUnknown, reducer.BasisNoAnswer, nil)
 	return r.guard.unknownOutcome(req, r.arrived.Attempt), nil
 }
@@ -233,7 +236,7 @@
 	r.once.Do(func() {
 		r.guard.Loop.Do(reducer.WorkEnded{
 			Work: r.mailbox.ID(), Outcome: outcome, Basis: basis, Status: r.status, Skipped: r.skipped, Answer: answer,
-			PacePercent: r.pacePercent,
+			PacePercent: r.pacePercent, RequesterLeft: r.requesterLeft,
 		})
 		r.guard.Loop.CloseWork(r.mailbox)
 	})
--- a/internal/mesh/node/decisions.go
+++ b/internal/mesh/node/decisions.go
@@ -126,6 +126,9 @@
 	switch decided.Kind {
 	case reducer.DecisionCallAnswered, reducer.DecisionCallRejected:
 		d.histogram("call.microseconds." + string(decided.Kind)).Update(decided.Took.Microseconds())
+		if decided.AnsweredBy != "" {
+			d.histogram("call.microseconds.answered-by-" + decided.AnsweredBy).Update(decided.Took.Microseconds())
+		}
 	case reducer.DecisionWorkStarted:
 		d.histogram("work.wait.microseconds").Update(decided.Took.Microseconds())
 	case reducer.DecisionWorkEnded:
--- a/internal/operator/settings/reader.go
+++ b/internal/operator/settings/reader.go
@@ -140,7 +140,8 @@
 		return otherwise
 	}
 	f, err := r.file.Section(section).Key(key).Float64()
-	if err != nil || f < least || f > most {
+	// Written so that NaN, which is neither below nor above any bound, fails too.
+	if err != nil || !(f >= least && f <= most) {
 		r.problem(section, key, fmt.Sprintf("%q is no number from %v to %v", value, least, most))
 		return otherwise
 	}
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -181,6 +181,7 @@
 	s.RetryShare = r.share("retries", "share", s.RetryShare)
 	s.RetryBurst = float64(r.integer("retries", "burst", int(s.RetryBurst), 0, 10_000))
 	s.MaxRetries = r.integer("retries", "per_call", s.MaxRetries, 0, 10)
+	s.HedgeShare = r.number("hedging", "share", s.HedgeShare, 0, maxHedgeShare)
 	s.KeyWindow = r.duration("keys", "window", s.KeyWindow, time.Second, 7*24*time.Hour)
 	s.ClockSkew = r.duration("keys", "clock_skew", s.ClockSkew, 0, time.Hour)
 	s.MaxKeys = r.integer("keys", "count", s.MaxKeys, 1, 10_000_000)
@@ -206,6 +207,9 @@
 	return s
 }
 
+// maxHedgeShare is the share of requests that the platform lets all entries send to a second upstream.
+const maxHedgeShare = 0.2
+
 // bytesPerMegabit is how links are measured: 10^6 bits.
 const bytesPerMegabit = 1e6 / 8
 
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -29,6 +29,7 @@
 	c.Assert(node.LogPeriod, qt.Equals, 2*time.Second)
 	c.Assert(node.Listen.PeersAnnounced, qt.Equals, "127.0.0.1:9001")
 	c.Assert(node.Decisions.Sample, qt.Equals, 3)
+	c.Assert(node.Decisions.HedgeShare, qt.Equals, 0.0)
 }
 
 // TestParseDropsTheFractionOfSharedRetries guards against a node that does not start because
@@ -52,6 +53,8 @@
 		{name: "unknown section", text: good + "[kyes]\nwindow = 1s\n", section: "kyes", keys: []string{"*"}},
 		{name: "not a duration", text: good + "[keys]\nwindow = long\n", section: "keys", keys: []string{"window"}},
 		{name: "out of range", text: good + "[routing]\nsample = 0\nmax_ejected_share = 1\n", section: "routing", keys: []string{"sample", "max_ejected_share"}},
+		{name: "more hedges than the platform allows", text: good + "[hedging]\nshare = 0.21\n", section: "hedging", keys: []string{"share"}},
+		{name: "hedges without end", text: good + "[hedging]\nshare = NaN\n", section: "hedging", keys: []string{"share"}},
 		{name: "no such policy", text: good + "[routing]\npolicy = best\n", section: "routing", keys: []string{"policy"}},
 		{name: "host name for a seed", text: good + "[peers]\nseeds = 127.0.0.1:1, node-2:9001\n", section: "peers", keys: []string{"seeds"}},
 		{name: "half of TLS", text: good + "[tls]\ncertificate = /absent/cert.pem\n", section: "tls", keys: []string{"certificate"}},
