--- a/internal/decision/hedging/latencies.go
+++ b/internal/decision/hedging/latencies.go
@@ -62,7 +62,7 @@
 }
 
 func (l *Latencies) refresh(now time.Time) {
-	if !l.computedAt.IsZero() && now.Sub(l.computedAt) < refreshPeriod {
+	if l.tail > 0 && now.Sub(l.computedAt) < refreshPeriod {
 		return
 	}
 	l.computedAt = now
--- a/internal/decision/reducer/hedgeload_test.go
+++ b/internal/decision/reducer/hedgeload_test.go
@@ -193,7 +193,9 @@
 				AttemptRefused{Call: a.Call, Attempt: a.Attempt, Reason: RefusalBusy, Load: load(5, hedgeTail)},
 				AttemptRefused{Call: a.Call, Attempt: a.Attempt, Reason: RefusalShed},
 				AttemptLost{Call: a.Call, Attempt: a.Attempt, Sent: true},
-				CallExpired{Call: a.Call}, CallerLeft{Call: a.Call}, CallEnded{Call: a.Call},
+				CallExpired{Call: a.Call},
+				CallerLeft{Call: a.Call},
+				CallEnded{Call: a.Call},
 			}
 			event := events[random.IntN(len(events))]
 			compare(func(n *routedNode) []Effect { return n.step(event) })
