--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -38,6 +38,8 @@
 	resp    *http.Response
 
 	fingerprint uint64
+	// hedging runs the attempts of a call that may be hedged, or is nil.
+	hedging *hedgedAttempts
 }
 
 // run submits the call to the loop and executes its effects until the call is over.
@@ -61,6 +63,7 @@
 	remaining := x.entry.Loop.CallDeadline(x.mailbox).Sub(x.entry.Loop.Clock())
 	_ = controller.SetWriteDeadline(time.Now().Add(remaining + answerWriteGrace))
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	defer x.closeHedged()
 	for !x.applyEffect(x.nextEffect()) {
 		continue
 	}
@@ -74,6 +77,9 @@
 		return effect
 	default:
 	}
+	if x.hedging.inFlight() {
+		return x.nextHedgedEffect()
+	}
 	expires := x.entry.Loop.CallDeadline(x.mailbox)
 	timer := time.NewTimer(expires.Sub(x.entry.Loop.Clock()))
 	defer timer.Stop()
@@ -84,6 +90,11 @@
 		return nil
 	case <-timer.C:
 	}
+	return x.expire()
+}
+
+// expire reports that the call's deadline has passed, and returns the effect that follows, or nil.
+func (x *exchange) expire() reducer.CallEffect {
 	x.entry.Loop.Do(reducer.CallExpired{Call: x.mailbox.ID()})
 	select {
 	case effect := <-x.mailbox.Effects():
@@ -98,14 +109,25 @@
 func (x *exchange) applyEffect(effect reducer.CallEffect) bool {
 	switch e := effect.(type) {
 	case reducer.SendAttempt:
+		if e.Hedge || !e.HedgeAt.IsZero() {
+			x.startHedged(e)
+			return false
+		}
 		x.sendAttempt(e)
 		return false
+	case reducer.PostponeHedge:
+		x.hedging.postpone(e)
+		return false
+	case reducer.CancelAttempt:
+		x.hedging.cancel(e.Attempt)
+		return false
 	case reducer.SettleAttempt:
 		x.settleAttempt(e)
 		return false
 	case reducer.ForwardCall:
 		return x.forwardCall(e)
 	case reducer.RelayAnswer:
+		x.takeHedgedAnswer(e.Attempt)
 		x.relayAnswer(e)
 		return true
 	case reducer.RejectCall:
@@ -122,126 +144,11 @@
 
 // sendAttempt sends one attempt and reports its result to the reducer.
 func (x *exchange) sendAttempt(e reducer.SendAttempt) {
-	ctx, cancel := x.entry.Loop.WithDeadline(x.ctx, e.Deadline)
-	traced, connected := peer.TraceConnection(ctx)
-	out := x.newRequest(e.Target, e.Deadline, e.Retries).WithContext(traced)
-	h := out.Header
-	if e.HideCredentials {
-		x.entry.Protocol.SetTenant(h, e.Tenant)
-		x.hideInTrailer(out)
-	}
-	h[peer.HeaderAttempt] = []string{string(e.Attempt)}
-	h[peer.HeaderFingerprint] = []string{strconv.FormatUint(e.Fingerprint, 16)}
-	h[peer.HeaderKind] = []string{e.Kind}
-	h[peer.HeaderLength] = []string{string(e.Length)}
-	if e.Service != "" {
-		h[peer.HeaderService] = []string{e.Service}
-	}
-	if e.RequestID != "" {
-		h[peer.HeaderRequest] = []string{e.RequestID}
-	}
-	if !e.Objective.IsZero() {
-		h[peer.HeaderObjective] = []string{e.Objective.Sub(x.entry.Loop.Clock()).String()}
-	}
-	h[peer.HeaderTo] = []string{strconv.FormatUint(e.Target.Incarnation(), 16)}
-	if e.Key != "" {
-		h[peer.HeaderKey] = []string{e.Key}
-	}
-	if e.Keyed {
-		h[peer.HeaderKeyed] = []string{"1"}
-	}
-	if e.RefuseIfBusy {
-		h[peer.HeaderImpatient] = []string{"1"}
-	}
-	if e.Repeat {
-		h[peer.HeaderRepeat] = []string{"1"}
-	}
-	if e.Replay {
-		// A replay only fetches a stored answer, so it needs no body.
-		h[peer.HeaderReplay] = []string{"1"}
-		out.ContentLength = 0
-		out.Body = peer.SingleUse(out.Method, 0, http.NoBody)
-		delete(h, "Expect")
-	}
-	var transport http.RoundTripper
-	if e.Target == x.entry.Self {
-		transport = x.entry.Guard
-		connected.Store(true)
-	} else {
-		transport = x.entry.Mesh.CallTransport(e.Length)
-	}
-	resp, err := transport.RoundTrip(out)
-	if err != nil {
-		cancel()
-		x.entry.Loop.Do(reducer.AttemptLost{
-			Call: e.Call, Attempt: e.Attempt, Sent: connected.Load(), BodySpent: x.body.endAttempt(),
-		})
-		return
+	result := x.runAttempt(x.ctx, e)
+	if result.resp != nil {
+		x.resp = result.resp
 	}
-	resp.Body = &cancelingBody{ReadCloser: resp.Body, cancel: cancel}
-	x.reportAnswer(e, resp)
-}
-
-// reportAnswer reports an attempt's answer to the reducer.
-func (x *exchange) reportAnswer(e reducer.SendAttempt, resp *http.Response) {
-	if resp.Header.Get(peer.HeaderAttempt) != string(e.Attempt) {
-		// The answer is not the guard's answer to this attempt, so the outcome is unknown.
-		_ = resp.Body.Close()
-		x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
-		return
-	}
-	load, err := reducer.ParseLoadReport(resp.Header.Get(peer.HeaderLoad))
-	if err != nil {
-		load = reducer.LoadReport{}
-	}
-	reason := reducer.RefusalReason(resp.Header.Get(peer.HeaderReason))
-	switch outcome := reducer.Outcome(resp.Header.Get(peer.HeaderOutcome)); {
-	case outcome == reducer.OutcomeRan:
-		if x.entry.Protocol.BuffersAnswers() && peer.ReadWhole(resp) != nil {
-			// A truncated answer may be retried: nothing of it has been sent to the caller.
-			x.entry.Loop.Do(reducer.AttemptLost{Call: e.Call, Attempt: e.Attempt, Sent: true, BodySpent: x.body.endAttempt()})
-			return
-		}
-		x.resp = resp
-		x.entry.Loop.Do(reducer.AttemptAnswered{
-			Call: e.Call, Attempt: e.Attempt, Status: resp.StatusCode, Load: load,
-		})
-	case outcome == reducer.OutcomeNotRun, e.Replay && reason != "":
-		// A refused replay has a reason, too, whatever became of the attempt.
-		drain(resp)
-		x.entry.Loop.Do(reducer.AttemptRefused{
-			Call: e.Call, Attempt: e.Attempt, Load: load, BodySpent: x.body.endAttempt(), Reason: reason,
-		})
-	default:
-		drain(resp)
-		crash, err := strconv.ParseUint(resp.Header.Get(peer.HeaderCrash), 16, 64)
-		if err != nil {
-			crash = 0
-		}
-		x.entry.Loop.Do(reducer.AttemptLost{
-			Call: e.Call, Attempt: e.Attempt, Sent: true, Dispatched: true, Crash: crash, BodySpent: x.body.endAttempt(),
-		})
-	}
-}
-
-// drain reads a short answer to its end so that its connection can be reused.
-func drain(resp *http.Response) {
-	const maxDrainedBytes = 4 << 10
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainedBytes)
-	_ = resp.Body.Close()
-}
-
-// cancelingBody cancels the attempt's context when the answer's body is closed.
-type cancelingBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the answer's body and cancels its attempt.
-func (b *cancelingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
+	x.entry.Loop.Do(result.event)
 }
 
 // newRequest returns the caller's request as sent to the target node.
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -30,6 +30,7 @@
 	c.Assert(node.Listen.PeersAnnounced, qt.Equals, "127.0.0.1:9001")
 	c.Assert(node.Decisions.Sample, qt.Equals, 3)
 	c.Assert(node.Limits.PipelinedRequests, qt.Equals, 8)
+	c.Assert(node.Decisions.HedgeShare, qt.Equals, 0.0)
 }
 
 // TestParseDropsTheFractionOfSharedRetries guards against a node that does not start because
@@ -99,6 +100,8 @@
 		{name: "not a duration", text: good + "[keys]\nwindow = long\n", section: "keys", keys: []string{"window"}},
 		{name: "out of range", text: good + "[routing]\nsample = 0\nmax_ejected_share = 1\n", section: "routing", keys: []string{"sample", "max_ejected_share"}},
 		{name: "bounds of pipelined requests", text: good + "[limits]\npipelined_requests = 65\npipelined_bytes = 0\n", section: "limits", keys: []string{"pipelined_requests", "pipelined_bytes"}},
+		{name: "more hedges than the platform allows", text: good + "[hedging]\nshare = 0.21\n", section: "hedging", keys: []string{"share"}},
+		{name: "hedges without end", text: good + "[hedging]\nshare = NaN\n", section: "hedging", keys: []string{"share"}},
 		{name: "no such policy", text: good + "[routing]\npolicy = best\n", section: "routing", keys: []string{"policy"}},
 		{name: "host name for a seed", text: good + "[peers]\nseeds = 127.0.0.1:1, node-2:9001\n", section: "peers", keys: []string{"seeds"}},
 		{name: "quotas out of range", text: good + "[quotas]\nwindow = 1ms\noverage = 1\nslack = -1\n", section: "quotas", keys: []string{"window", "overage", "slack"}},
