Count deadlines beyond the timeout again where there are no tenants

Cause: a deadline beyond the route's timeout counted as the timeout, to keep anonymous callers from moving the objectives of others. Callers of the earlier deployments wait up to 2.1 times the timeout, so their resends no longer had less time left than first requests and were given a whole objective again. That changed how earlier deployments are served.

Change: deadlines count as before, but not those of calls without a tenant where the plan has tenants. TestFarDeadlineCountsAsTheTimeout asked for the clamp and is replaced: TestDeadlinesOfAnonymousCallsDontCount checks that anonymous deadlines change nothing at all, TestResendIsToldByADeadlineBeyondTheTimeout fails with the clamp.

Result: the tests pass.

--- a/internal/decision/reducer/access.go
+++ b/internal/decision/reducer/access.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// anonymous reports whether the call has no tenant although the plan has tenants.
+func (c *call) anonymous() bool { return c.hideCredentials && c.tenant == nil }
+
 // tenantName returns the name of the call's tenant, or an empty string without one.
 func (c *call) tenantName() string {
 	if c.tenant == nil {
--- a/internal/decision/reducer/route.go
+++ b/internal/decision/reducer/route.go
@@ -181,13 +181,12 @@
 }
 
 // resolveObjective sets a routed call's objective, which counts from when the caller first sent the request.
-// The call must be authorized: its deadline counts for the estimates of the route's other calls.
+// The call must be authorized: its deadline counts for the estimates of the route's other calls. Where there
+// are tenants, that of a call without one doesn't count, because anybody may set any deadline.
 func (r *Reducer) resolveObjective(c *call, e CallArrived) {
 	timeSinceFirstSend := time.Duration(0)
-	if !e.Deadline.IsZero() {
-		// A caller may set any deadline, so one beyond the route's timeout says no more than the timeout.
-		remaining := min(e.Deadline.Sub(r.now), c.route.route.Timeout)
-		timeSinceFirstSend = c.route.state.timeSinceFirstSend(r.now, remaining)
+	if !e.Deadline.IsZero() && !c.anonymous() {
+		timeSinceFirstSend = c.route.state.timeSinceFirstSend(r.now, e.Deadline.Sub(r.now))
 	}
 	c.objective = c.deadline
 	if c.route.route.Objective > 0 {
