Release a head that is drawn while its connection closes

Conn.received books what it drew after the draw has returned. A Close between the two had already given the head's bytes back, so that the later ones stayed booked for ever: 4 KiB or more of the callers' share each time, until no head or body fits. Close now leaves a mark, and received releases behind it.

--- a/internal/edge/budget/conn.go
+++ b/internal/edge/budget/conn.go
@@ -59,6 +59,8 @@
 	since time.Time
 	// hijacked is set once the server has given the connection away. TakenOver notes its phases then.
 	hijacked bool
+	// closed is set once Close has given back what the head held.
+	closed bool
 	// running is the number of requests that are being handled.
 	running int
 	// headBytes is the length of the present head so far, headCost what it costs, and headDrawn what
@@ -150,8 +152,14 @@
 		return err
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	if c.closed {
+		// Nobody gives the head's bytes back behind Close.
+		b.mu.Unlock()
+		b.release(c, forHead, more)
+		return net.ErrClosed
+	}
 	c.headDrawn += more
+	b.mu.Unlock()
 	return nil
 }
 
@@ -249,6 +257,7 @@
 		b := c.budget
 		b.mu.Lock()
 		delete(b.ledger.holders, &c.holder)
+		c.closed = true
 		drawn := int64(0)
 		if c.running == 0 {
 			drawn, c.headDrawn = c.headDrawn, 0
