Refuse content beyond a pipelined answer's length

A handler that wrote more than its Content-Length and had flushed before had the rest written behind the answer, where the client takes it for the answer to its next pipelined request. Write now returns http.ErrContentLength, as that of net/http does.

Measured: before the change, the new test read a forged answer behind the one of two bytes; it passes with -race now. The node's own handlers don't exceed the length today.

--- a/internal/edge/pipeline/answer.go
+++ b/internal/edge/pipeline/answer.go
@@ -86,6 +86,9 @@
 		a.skipped += int64(len(p))
 		return len(p), nil
 	}
+	if declared := a.declaredLength(); declared >= 0 && int64(len(a.content)+len(p)) > declared {
+		return 0, http.ErrContentLength
+	}
 	// The handler may have the whole answer while it waits below.
 	if err := a.hold(int64(len(a.content) + len(p))); err != nil {
 		return 0, err
--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -160,3 +160,29 @@
 	s.c.Assert([]any{resp.ContentLength, body}, qt.DeepEquals, []any{int64(4), ""})
 	k.expect("text")
 }
+
+// TestContentBeyondTheLengthIsNotWritten guards against bytes behind an answer's length, which the client
+// takes for the answer to its next request.
+func TestContentBeyondTheLengthIsNotWritten(t *testing.T) {
+	s := newSite(t, nil)
+	s.answer = func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/b" {
+			_, _ = io.WriteString(w, req.URL.Path)
+			return
+		}
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "/b")
+		_ = http.NewResponseController(w).Flush()
+		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/x")
+		s.c.Check(err, qt.ErrorIs, http.ErrContentLength)
+		panic(http.ErrAbortHandler)
+	}
+	k := s.dial()
+	k.send(get("/a"), get("/b"), get("/c"))
+	s.await(s.started, "/a", "/b", "/c")
+	s.release("/c", "/b", "/a")
+	k.expect("/a", "/b")
+	_ = k.closeWrite()
+	k.expectEnd()
+	s.shutdown()
+}
