Leave out broken answers to HTTP/1.0 that look complete

A pipelined answer that was broken off behind a flush is written as a chunked body without its end. HTTP/1.0 has no chunks, so that one of unknown length got the Content-Length of its part and looked complete. The connection now closes without it.

Measured: before the change, the new test read a complete answer of two bytes; it passes with -race now, as do the others of the package.

--- a/internal/edge/pipeline/answer.go
+++ b/internal/edge/pipeline/answer.go
@@ -190,6 +190,12 @@
 		httpguts.HeaderValuesContainsToken(a.sent["Connection"], "close")
 }
 
+// showsBreak reports whether the client can tell the part that was flushed of an answer that was broken off from
+// a complete answer.
+func (a *answer) showsBreak() bool {
+	return a.req.ProtoAtLeast(1, 1) || a.declaredLength() >= 0
+}
+
 // declaredLength returns the answer's Content-Length as the handler set it, or -1.
 func (a *answer) declaredLength() int64 {
 	length, err := strconv.ParseInt(a.sent.Get("Content-Length"), 10, 64)
--- a/internal/edge/pipeline/connection.go
+++ b/internal/edge/pipeline/connection.go
@@ -259,7 +259,7 @@
 		case <-c.ctx.Done():
 			return false
 		}
-		if (a.aborted && !a.flushed) || c.ctx.Err() != nil {
+		if (a.aborted && (!a.flushed || !a.showsBreak())) || c.ctx.Err() != nil {
 			return false
 		}
 		closing = a.closes() || (c.readEnded.Load() && len(c.queue) == 0)
--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -186,3 +186,23 @@
 	k.expectEnd()
 	s.shutdown()
 }
+
+// TestBrokenAnswerOfUnknownLengthToHTTP10 guards against a part of an answer that looks complete: HTTP/1.0
+// has no chunks whose end could be missing.
+func TestBrokenAnswerOfUnknownLengthToHTTP10(t *testing.T) {
+	s := newSite(t, nil)
+	s.answer = func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.WriteString(w, req.URL.Path)
+		if req.URL.Path == "/b" {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	k := s.dial()
+	k.send(get("/a"), "GET /b HTTP/1.0\r\nHost: site\r\n\r\n")
+	s.await(s.started, "/a")
+	s.release("/b", "/a")
+	k.expect("/a")
+	k.expectEnd()
+	s.shutdown()
+}
