Abort requests that are given up without an answer

When the context of a caller's request ended, or its deadline passed without an effect, the handler returned without an answer, and net/http completed it: 200 with an empty body. A caller that only ended its own side of the connection, or whose reads the memory budget interrupted, took that for the answer. The handler now panics with http.ErrAbortHandler, also behind an answer that is read for resends alone.

Measured: before the change, the new test read 200 OK with Content-Length 0 while no attempt was answered; it reads nothing now. go test -race passes for internal/edge, internal/mesh and platform.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// applyEffect executes one effect and reports whether the call is over. A nil effect ends
-// the call.
+// applyEffect executes one effect and reports whether the call is over. A nil effect gives the
+// call up.
 func (x *exchange) applyEffect(effect reducer.CallEffect) bool {
 	switch e := effect.(type) {
 	case reducer.SendAttempt:
@@ -138,7 +138,9 @@
 		x.entry.Protocol.Reject(x.writer, x.req, e, "")
 		return true
 	default:
-		return true
+		// net/http would complete the answer of a handler that returns: as an empty one with status 200. Not
+		// only callers that left read it, but also those that merely ended their own side of the connection.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -280,7 +282,7 @@
 		// The caller left, but a resend with the same key may wait for the answer.
 		n, err := io.Copy(io.Discard, x.resp.Body)
 		ended(n, err == nil)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if err := x.drawAnswer(); err != nil {
 		n, err := io.Copy(io.Discard, x.resp.Body)
