--- a/internal/edge/pipeline/connection_test.go
+++ b/internal/edge/pipeline/connection_test.go
@@ -160,3 +160,49 @@
 	s.c.Assert([]any{resp.ContentLength, body}, qt.DeepEquals, []any{int64(4), ""})
 	k.expect("text")
 }
+
+// TestContentBeyondTheLengthIsNotWritten guards against bytes behind an answer's length, which the client
+// takes for the answer to its next request.
+func TestContentBeyondTheLengthIsNotWritten(t *testing.T) {
+	s := newSite(t, nil)
+	s.answer = func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/b" {
+			_, _ = io.WriteString(w, req.URL.Path)
+			return
+		}
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "/b")
+		_ = http.NewResponseController(w).Flush()
+		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/x")
+		s.c.Check(err, qt.ErrorIs, http.ErrContentLength)
+		panic(http.ErrAbortHandler)
+	}
+	k := s.dial()
+	k.send(get("/a"), get("/b"), get("/c"))
+	s.await(s.started, "/a", "/b", "/c")
+	s.release("/c", "/b", "/a")
+	k.expect("/a", "/b")
+	_ = k.closeWrite()
+	k.expectEnd()
+	s.shutdown()
+}
+
+// TestBrokenAnswerOfUnknownLengthToHTTP10 guards against a part of an answer that looks complete: HTTP/1.0
+// has no chunks whose end could be missing.
+func TestBrokenAnswerOfUnknownLengthToHTTP10(t *testing.T) {
+	s := newSite(t, nil)
+	s.answer = func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.WriteString(w, req.URL.Path)
+		if req.URL.Path == "/b" {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	k := s.dial()
+	k.send(get("/a"), "GET /b HTTP/1.0\r\nHost: site\r\n\r\n")
+	s.await(s.started, "/a")
+	s.release("/b", "/a")
+	k.expect("/a")
+	k.expectEnd()
+	s.shutdown()
+}
