Keep the names of configuration fields in the platform's folder

Cause: the check of configurations named fields as the platform does, outside the folder that translates them.

Change: planlint names fields as an encoded plan does; the command shows them by platform.ConfigurationField.

--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -38,7 +38,7 @@
 func commands(platform Platform) []command {
 	return []command{
 		&burnCommand{},
-		&configCommand{read: platform.Configuration},
+		&configCommand{read: platform.Configuration, fieldName: platform.ConfigurationField},
 		&demoCommand{},
 		&explainCommand{},
 		&loadCommand{},
--- a/internal/operator/cli/configcmd.go
+++ b/internal/operator/cli/configcmd.go
@@ -25,6 +25,8 @@
 	json    bool
 	// read decodes the platform's configurations.
 	read ConfigurationReader
+	// fieldName returns a plan's field by the name that it has there.
+	fieldName func(string) string
 }
 
 func (c *configCommand) attach() *flaggy.Subcommand {
@@ -49,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	for i := range findings {
+		findings[i].Field = c.fieldName(findings[i].Field)
+	}
 	planlint.Sort(findings)
 	if err := c.write(stdout, findings); err != nil {
 		return err
--- a/internal/operator/cli/platform.go
+++ b/internal/operator/cli/platform.go
@@ -21,4 +21,6 @@
 	Adapter AdapterFactory
 	// Configuration reads the configurations that operators check.
 	Configuration ConfigurationReader
+	// ConfigurationField returns a plan's field by the name that it has in a configuration.
+	ConfigurationField func(field string) string
 }
--- a/internal/operator/planlint/compare.go
+++ b/internal/operator/planlint/compare.go
@@ -42,7 +42,7 @@
 	for _, tenant := range spec.Tenants {
 		all[place{TypeTenant, tenant.Name}] = entry{values: tenantValues(tenant), digests: tenant.KeyDigests}
 	}
-	all[place{resourceType: TypeLimits}] = entry{values: limitsValues(spec.Limits)}
+	all[place{kind: TypeLimits}] = entry{values: limitsValues(spec.Limits)}
 	return all
 }
 
@@ -60,7 +60,7 @@
 	}
 	added, removed := missing(after.digests, before.digests), missing(before.digests, after.digests)
 	if added+removed > 0 {
-		found = append(found, at.finding(SeverityNote, FieldKeys, "%d access keys added, %d removed", added, removed))
+		found = append(found, at.finding(SeverityNote, fieldKeys, "%d access keys added, %d removed", added, removed))
 	}
 	return found
 }
--- a/internal/operator/planlint/compare_test.go
+++ b/internal/operator/planlint/compare_test.go
@@ -19,11 +19,11 @@
 	changed.Services = []reducer.ServicePlan{{Name: "spare"}}
 	changed.Tenants[0].KeyDigests = []string{"d2", "d3", "d2"}
 	changed.Limits.BodyBytes = 5
-	c.Assert(fmt.Sprint(Compare(soundPlan(), changed)), qt.Equals, `[note: limits, maxBodyBytes: changed from "0" to "5"`+
+	c.Assert(fmt.Sprint(Compare(soundPlan(), changed)), qt.Equals, `[note: limits, body_bytes: changed from "0" to "5"`+
 		` note: routes "look", service: changed from "desk" to "desk 9, spare 1"`+
-		` note: routes "look", allowedRegions: changed from "north" to "all"`+
+		` note: routes "look", regions: changed from "north" to "all"`+
 		` note: services "desk": removed note: services "spare": added`+
-		` note: tenants "press", apiKeys: 2 access keys added, 1 removed]`)
+		` note: tenants "press", key_digests: 2 access keys added, 1 removed]`)
 }
 
 // Nodes ignore a version that doesn't follow the one in force, so that sending it has no effect.
--- a/internal/operator/planlint/finding.go
+++ b/internal/operator/planlint/finding.go
@@ -68,13 +68,13 @@
 
 // place is a resource of the configuration.
 type place struct {
-	resourceType string
-	name         string
+	kind string
+	name string
 }
 
 // finding returns a finding about a field of the resource.
 func (p place) finding(severity Severity, field, format string, args ...any) Finding {
-	return Finding{Severity: severity, Type: p.resourceType, Name: p.name, Field: field, Text: fmt.Sprintf(format, args...)}
+	return Finding{Severity: severity, Type: p.kind, Name: p.name, Field: field, Text: fmt.Sprintf(format, args...)}
 }
 
 // number is the value of a numeric field or a duration.
--- a/internal/operator/planlint/hidden.go
+++ b/internal/operator/planlint/hidden.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		if other, ok := first[key]; ok {
-			found = append(found, place{resourceType: TypeRoute, name: route.Name}.finding(SeverityWarning, fieldPrefix,
+			found = append(found, place{kind: TypeRoute, name: route.Name}.finding(SeverityWarning, fieldPrefix,
 				"the route can never match: route %q before it has the same host and prefix; remove one of them or change its prefix", other))
 			continue
 		}
--- a/internal/operator/planlint/hidden_test.go
+++ b/internal/operator/planlint/hidden_test.go
@@ -17,7 +17,7 @@
 		}
 	}
 	checkFaults(t, map[string]faultTest{
-		"hidden":        {add("A.Example", "/look/"), []string{`warning: routes "late", pathPrefix: .* route "look" before it .*`}},
+		"hidden":        {add("A.Example", "/look/"), []string{`warning: routes "late", prefix: .* route "look" before it .*`}},
 		"longer prefix": {add("a.example", "/look/up/"), nil},
 		"other host":    {add("b.example", "/look/"), nil},
 	})
--- a/internal/operator/planlint/keys.go
+++ b/internal/operator/planlint/keys.go
@@ -22,13 +22,13 @@
 			}
 			shared[owner]++
 		}
-		at := place{resourceType: TypeTenant, name: tenant.Name}
+		at := place{kind: TypeTenant, name: tenant.Name}
 		for _, owner := range slices.Sorted(maps.Keys(shared)) {
 			if owner == i {
-				found = append(found, at.finding(SeverityWarning, FieldKeys, "%d access keys are listed more than once; remove the repetitions", shared[owner]))
+				found = append(found, at.finding(SeverityWarning, fieldKeys, "%d access keys are listed more than once; remove the repetitions", shared[owner]))
 				continue
 			}
-			found = append(found, at.finding(SeverityError, FieldKeys,
+			found = append(found, at.finding(SeverityError, fieldKeys,
 				"tenant %q holds %d of the same access keys and gets their requests; give each tenant keys of its own", tenants[owner].Name, shared[owner]))
 		}
 	}
--- a/internal/operator/planlint/names.go
+++ b/internal/operator/planlint/names.go
@@ -1,6 +1,6 @@
 package planlint
 
-// Resource types as in the configuration that operators write.
+// Types of the entries of a configuration.
 const (
 	TypeConfiguration = "configuration"
 	TypeRoute         = "routes"
@@ -9,37 +9,36 @@
 	TypeLimits        = "limits"
 )
 
-// Fields as in the configuration that operators write.
+// Fields by the names that they have in an encoded plan.
 const (
 	fieldVersion = "version"
 
 	fieldHost        = "host"
-	fieldPrefix      = "pathPrefix"
+	fieldPrefix      = "prefix"
 	fieldTimeout     = "timeout"
-	fieldObjective   = "targetLatency"
+	fieldObjective   = "objective"
 	fieldService     = "service"
-	fieldSplit       = "trafficSplit"
-	fieldMaxAttempts = "maxAttempts"
-	fieldOpen        = "noAuth"
+	fieldSplit       = "services"
+	fieldMaxAttempts = "max_attempts"
+	fieldOpen        = "open"
 	fieldPriority    = "priority"
-	fieldRegions     = "allowedRegions"
+	fieldRegions     = "regions"
 
-	fieldRate  = "ratePerS"
+	fieldRate  = "rate_per_second"
 	fieldBurst = "burst"
 
-	fieldHealthPath     = "healthPath"
-	fieldMaxConnections = "maxConnections"
+	fieldHealthPath     = "health_path"
+	fieldMaxConnections = "max_connections"
 	fieldWarmup         = "warmup"
-	fieldWarmupRate     = "warmupPerS"
+	fieldWarmupRate     = "warmup_rate"
 
-	fieldBodyBytes     = "maxBodyBytes"
-	fieldHeaderBytes   = "maxHeaderBytes"
-	fieldHeaderTimeout = "headerTimeout"
-	fieldIdleTimeout   = "idleTimeout"
+	fieldBodyBytes     = "body_bytes"
+	fieldHeaderBytes   = "header_bytes"
+	fieldHeaderTimeout = "header_timeout"
+	fieldIdleTimeout   = "idle_timeout"
 )
 
-// Fields that the reader of the configuration checks, too.
 const (
-	FieldKind = "kind"
-	FieldKeys = "apiKeys"
+	fieldKind = "kind"
+	fieldKeys = "key_digests"
 )
--- a/internal/operator/planlint/regions.go
+++ b/internal/operator/planlint/regions.go
@@ -22,6 +22,6 @@
 	if len(apart) == 0 {
 		return nil
 	}
-	return []Finding{place{resourceType: TypeTenant, name: t.Name}.finding(SeverityWarning, fieldRegions,
+	return []Finding{place{kind: TypeTenant, name: t.Name}.finding(SeverityWarning, fieldRegions,
 		"no region is allowed for both the tenant and %d routes (%s), which reject its requests; allow a common region", len(apart), listed(apart))}
 }
--- a/internal/operator/planlint/route.go
+++ b/internal/operator/planlint/route.go
@@ -8,7 +8,7 @@
 
 // checkRoute checks the fields of a route.
 func checkRoute(route reducer.Route) []Finding {
-	at := place{resourceType: TypeRoute, name: route.Name}
+	at := place{kind: TypeRoute, name: route.Name}
 	found := at.negatives(
 		number{fieldObjective, float64(route.Objective)},
 		number{fieldPriority, float64(route.Priority)},
--- a/internal/operator/planlint/tenant.go
+++ b/internal/operator/planlint/tenant.go
@@ -4,14 +4,14 @@
 
 // checkTenant checks the fields of a tenant.
 func checkTenant(tenant reducer.Tenant) []Finding {
-	at := place{resourceType: TypeTenant, name: tenant.Name}
+	at := place{kind: TypeTenant, name: tenant.Name}
 	found := at.negatives(
 		number{fieldPriority, float64(tenant.Priority)},
 		number{fieldRate, tenant.RatePerSecond},
 		number{fieldBurst, tenant.Burst},
 	)
 	if len(tenant.KeyDigests) == 0 {
-		found = append(found, at.finding(SeverityWarning, FieldKeys, "the tenant has no access key, so that no request can be its own; add a key or remove the tenant"))
+		found = append(found, at.finding(SeverityWarning, fieldKeys, "the tenant has no access key, so that no request can be its own; add a key or remove the tenant"))
 	}
 	switch {
 	case tenant.RatePerSecond > 0 && tenant.Burst >= 0 && tenant.Burst < 1:
--- a/internal/operator/planlint/values.go
+++ b/internal/operator/planlint/values.go
@@ -18,7 +18,7 @@
 	return []value{
 		{fieldHost, route.Host},
 		{fieldPrefix, route.Prefix},
-		{FieldKind, kindText(route)},
+		{fieldKind, kindText(route)},
 		{fieldTimeout, route.Timeout.String()},
 		{fieldObjective, route.Objective.String()},
 		{fieldPriority, strconv.Itoa(route.Priority)},
--- a/internal/operator/planlint/version.go
+++ b/internal/operator/planlint/version.go
@@ -5,7 +5,7 @@
 	if version > 0 {
 		return nil
 	}
-	return []Finding{place{resourceType: TypeConfiguration}.finding(SeverityError, fieldVersion,
+	return []Finding{place{kind: TypeConfiguration}.finding(SeverityError, fieldVersion,
 		"nodes ignore version %d; set a positive number, above that of the version in force", version)}
 }
 
@@ -14,6 +14,6 @@
 	if version > inForce || version <= 0 {
 		return nil
 	}
-	return []Finding{place{resourceType: TypeConfiguration}.finding(SeverityError, fieldVersion,
+	return []Finding{place{kind: TypeConfiguration}.finding(SeverityError, fieldVersion,
 		"nodes ignore version %d because it is not above the version in force, %d; set a higher number", version, inForce)}
 }
--- a/internal/proof/scenario/main_test.go
+++ b/internal/proof/scenario/main_test.go
@@ -24,7 +24,9 @@
 		"raw":      func() { rawMain(os.Args[1:]) },
 		"relay":    func() { log.Fatal(relayMain(os.Args[1:])) },
 		"tanagerline": func() {
-			os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
+			os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{
+				Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration, ConfigurationField: platform.ConfigurationField,
+			}))
 		},
 		"upstream": func() { os.Exit(upstreamMain(os.Args[1:])) },
 	})
--- a/internal/proof/untrusted/node_test.go
+++ b/internal/proof/untrusted/node_test.go
@@ -27,7 +27,9 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(programVariable) != "" {
-		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
+		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{
+			Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration, ConfigurationField: platform.ConfigurationField,
+		}))
 	}
 	os.Exit(m.Run())
 }
--- a/main.go
+++ b/main.go
@@ -9,5 +9,7 @@
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration}))
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr, cli.Platform{
+		Adapter: platform.NewAdapter, Configuration: platform.ReadConfiguration, ConfigurationField: platform.ConfigurationField,
+	}))
 }
