Miss a silent quota holder after three heartbeats in large regions, too

Cause: in a region of n nodes those that don't use each other's upstreams report every n/50 s, and a holder counted as live for three times that, 6 s with 100 nodes. A new holder waited as long.

Change: holders report with every heartbeat, as the nodes that watch the plan store do, and are missed after three; a holder that was missed must be heard before it counts again.

Result: TestSilentHolderIsMissedInALargeRegion failed before; the tests of the bound pass.

--- a/internal/decision/reducer/peer.go
+++ b/internal/decision/reducer/peer.go
@@ -64,7 +64,9 @@
 	quotaAnsweredAt time.Time
 	// quotaFailedAt is when the peer last failed to answer such a request, or zero since an answer.
 	quotaFailedAt time.Time
-	quotaHolders  uint64
+	// quotaDroppedAt is when the peer was last replaced as a holder of tenants' quotas.
+	quotaDroppedAt time.Time
+	quotaHolders   uint64
 	// uptimeAhead is how far the peer's uptime was ahead of this process's at uptimeNotedAt.
 	uptimeAhead   time.Duration
 	uptimeNotedAt time.Time
--- a/internal/decision/reducer/quotaholder.go
+++ b/internal/decision/reducer/quotaholder.go
@@ -85,11 +85,14 @@
 		return
 	}
 	first := g.holder.IsZero()
-	wait := r.quotaSilence()
+	wait := maxSilenceInRegion
 	if !first && r.quotaHolderGone(g.holder) {
 		// Entries have missed it for nearly as long as this node.
 		wait = heartbeatPeriod
 	}
+	if former := r.members.byIncarnation[g.holder.Incarnation()]; former != nil && !r.quotaLive(former, maxSilenceInRegion) {
+		former.quotaDroppedAt = r.now
+	}
 	g.holder = holder
 	g.request = nil
 	g.grantFrom = time.Time{}
@@ -144,7 +147,15 @@
 	if p.quotaAnsweredAt.After(last) {
 		last = p.quotaAnsweredAt
 	}
+	if !last.After(p.quotaDroppedAt) {
+		// A former holder was not heard since.
+		return false
+	}
 	limit := nearLimit
+	if r.holdsQuotas(p) {
+		// Holders report as often as nodes that watch the plan store.
+		limit = maxSilenceInRegion
+	}
 	if p.tier == tierOtherRegion {
 		limit = maxSilenceOtherRegion
 		if !p.quotaFailedAt.IsZero() && r.now.Sub(p.quotaFailedAt) < maxSilenceOtherRegion {
@@ -206,6 +217,12 @@
 	return false
 }
 
+// holdsOwnQuotas reports whether this node is the holder of a group of tenants' quotas.
+func (r *Reducer) holdsOwnQuotas() bool {
+	self := r.selfID()
+	return r.quotasOn() && slices.ContainsFunc(r.quotas.groups[:], func(g quotaGroup) bool { return g.holder == self })
+}
+
 // countQuotaMembers works out the fraction of the known members that this node hears and whose entries
 // use it as the holder, for each group.
 func (r *Reducer) countQuotaMembers(nearLimit time.Duration) {
@@ -366,7 +383,7 @@
 	for i := range r.quotas.groups {
 		g := &r.quotas.groups[i]
 		if !g.grantFrom.IsZero() {
-			g.grantFrom = r.now.Add(r.quotaSilence())
+			g.grantFrom = r.now.Add(maxSilenceInRegion)
 		}
 		r.emptyQuotaBuckets(g)
 		for _, q := range g.tenants {
--- a/internal/decision/reducer/quotastart_test.go
+++ b/internal/decision/reducer/quotastart_test.go
@@ -58,3 +58,45 @@
 		c.Assert(held > 0, qt.IsTrue)
 	}
 }
+
+// In a region of 100 nodes, which report to each other every two seconds only, a silent holder was missed
+// after 6 s, and tenants got their fixed shares until then. It must be missed after three heartbeats, and not
+// count again before it is heard.
+func TestSilentHolderIsMissedInALargeRegion(t *testing.T) {
+	c := qt.New(t)
+	n, holder := newQuotaEntry(c)
+	n.Settings.ReportNear = 30 * time.Millisecond
+	hear := func(id NodeID) {
+		n.step(LoadReportReceived{
+			From: id.Address(), Digest: Digest{Address: id.Address(), Incarnation: id.Incarnation(), Load: load(0, time.Millisecond)},
+		})
+	}
+	var others []NodeID
+	for i := 3; i < 103; i++ {
+		others = append(others, n.peer(i, "r1", load(0, time.Millisecond)))
+	}
+	n.advance(quotaViewPeriod)
+	n.step(Tick{})
+	g := n.quotas.tenants[n.tenants.tenants[0].Name].group
+	holder = g.holder
+	if holder == n.selfID() {
+		c.Fatal("the node itself holds the group")
+	}
+	for range 4 {
+		n.advance(heartbeatPeriod)
+		for _, id := range others {
+			if id != holder {
+				hear(id)
+			}
+		}
+		n.step(Tick{})
+	}
+	c.Assert(g.holder, qt.Not(qt.Equals), holder)
+	n.advance(quotaViewPeriod)
+	n.step(Tick{})
+	c.Assert(g.holder, qt.Not(qt.Equals), holder)
+	hear(holder)
+	n.advance(quotaViewPeriod)
+	n.step(Tick{})
+	c.Assert(g.holder, qt.Equals, holder)
+}
--- a/internal/decision/reducer/report.go
+++ b/internal/decision/reducer/report.go
@@ -101,10 +101,10 @@
 }
 
 // presencePeriod returns the time between two reports to the peers of this region that don't use
-// this node's upstream. All of them count on the few nodes that watch the plan store, which
-// therefore report as often as to entries that use them, as does a node that has changed.
+// this node's upstream. All of them count on the few nodes that watch the plan store or hold tenants'
+// quotas, which therefore report as often as to entries that use them, as does a node that has changed.
 func (r *Reducer) presencePeriod(peers int) time.Duration {
-	if r.now.Before(r.reportSchedule.introduceUntil) || r.WatchesPlanStore() {
+	if r.now.Before(r.reportSchedule.introduceUntil) || r.WatchesPlanStore() || r.holdsOwnQuotas() {
 		return heartbeatPeriod
 	}
 	return max(heartbeatPeriod, time.Duration(peers)*time.Second/presencePerSecond)
