--- a/internal/decision/reducer/quotastart_test.go
+++ b/internal/decision/reducer/quotastart_test.go
@@ -64,7 +64,7 @@
 // count again before it is heard.
 func TestSilentHolderIsMissedInALargeRegion(t *testing.T) {
 	c := qt.New(t)
-	n, holder := newQuotaEntry(c)
+	n, _ := newQuotaEntry(c)
 	n.Settings.ReportNear = 30 * time.Millisecond
 	hear := func(id NodeID) {
 		n.step(LoadReportReceived{
@@ -78,7 +78,7 @@
 	n.advance(quotaViewPeriod)
 	n.step(Tick{})
 	g := n.quotas.tenants[n.tenants.tenants[0].Name].group
-	holder = g.holder
+	holder := g.holder
 	if holder == n.selfID() {
 		c.Fatal("the node itself holds the group")
 	}
