--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -61,12 +61,17 @@
 // add adds a machine with a server of a service, which is not started yet.
 func (f *fleet) add(name, service, zone, region string, slots int, work func(*http.Request) time.Duration) (*machine, error) {
 	m := &machine{fleet: f, name: name, ip: fmt.Sprintf("%s.%d", f.network, 10+len(f.machines)), zone: zone, region: region, ports: map[string]int{}}
+	taken := map[int]bool{}
 	for _, use := range []string{"outbound", "peers", "operators", "control", "ready", "metrics", "server"} {
-		port, err := freePort(m.ip)
-		if err != nil {
-			return nil, err
+		for m.ports[use] == 0 {
+			port, err := freePort(m.ip)
+			if err != nil {
+				return nil, err
+			}
+			if !taken[port] {
+				m.ports[use], taken[port] = port, true
+			}
 		}
-		m.ports[use] = port
 	}
 	m.server = &appServer{
 		rec: f.rec, ledger: f.ledger, machine: name, service: service, zone: zone, address: m.address("server"),
@@ -76,15 +81,18 @@
 	return m, nil
 }
 
-// freePort returns a port of an address that is free for TCP and UDP.
+// freePort returns a port of an address that is free for TCP and UDP. It is below the range from which the system takes
+// ports for outgoing connections.
 func freePort(ip string) (int, error) {
+	const first, count = 10_000, 20_000
 	for range 50 {
-		l, err := net.Listen("tcp", ip+":0")
+		address := fmt.Sprintf("%s:%d", ip, first+rand.IntN(count))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return 0, err
+			continue
 		}
 		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
+		u, err := net.ListenPacket("udp", address)
 		_ = l.Close()
 		if err == nil {
 			_ = u.Close()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 	"quota":   playQuota,
 	"leaving": playLeaving,
 	"stop":    playStop,
+	"poison":  playPoison,
 }
 
 func main() {
--- /dev/null
+++ b/review/standin-2/poison.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// poisonPath is the path of the request that crashes each server that begins to run it.
+	poisonPath = "/xapu221/ny95/crash"
+	// crashAfter is how long a server works on it before it crashes, and serverBack how long it is away then.
+	crashAfter = 900 * time.Millisecond
+	serverBack = 3 * time.Second
+	// comingGap is the time between two comings of the request, in turn at the machines of its caller.
+	comingGap = 250 * time.Millisecond
+	// poisonTime is how long the request comes again.
+	poisonTime = 75 * time.Second
+)
+
+// crashLog holds the times at which the request crashed servers.
+type crashLog struct {
+	mu    sync.Mutex
+	times []time.Duration
+}
+
+// playPoison lets a request that crashes servers come again and again, in turn at the machines of its caller. Without
+// trouble, the same request crashes no server.
+func playPoison(f *fleet, trouble bool) (verdict, error) {
+	crashes := &crashLog{}
+	services := []string{"cert-ledger", "roster-reader", "evidence-vault"}
+	zones := []string{"amman-a", "irbid-a", "aqaba-a", "amman-b", "irbid-b", "aqaba-b"}
+	for i, service := range services {
+		for j, zone := range zones {
+			region, _, _ := strings.Cut(zone, "-")
+			if _, err := f.add(fmt.Sprintf("m%d", 6*i+j), service, zone, region, 6, nil); err != nil {
+				return verdict{}, err
+			}
+		}
+	}
+	for _, m := range f.machines {
+		s := m.server
+		s.work = func(req *http.Request) time.Duration {
+			if req.URL.Path == poisonPath {
+				if trouble {
+					time.AfterFunc(crashAfter, func() { s.crash(crashes) })
+					return time.Minute
+				}
+			}
+			return 60 * time.Millisecond
+		}
+	}
+	f.publish(7,
+		route("r-entry", "hulo84.example", "/xapu221/ny95/", "non_idempotent", services[0], 1200*time.Millisecond),
+		serviceEntry(services[0]), serviceEntry(services[1]), serviceEntry(services[2]), limitsEntry())
+	for i, m := range f.machines {
+		if err := m.server.start(fmt.Sprintf("i-%d", i)); err != nil {
+			return verdict{}, err
+		}
+		if err := m.startNode(); err != nil {
+			return verdict{}, err
+		}
+	}
+	for _, m := range f.machines {
+		if !m.awaitReady(10 * time.Second) {
+			return verdict{}, errors.New("a node did not become ready")
+		}
+	}
+	time.Sleep(3 * time.Second)
+	var done atomic.Bool
+	var all []*clients
+	for _, m := range f.machines[6:] {
+		c := newClients(m)
+		all = append(all, c)
+		go c.offer(4, done.Load, func() {
+			c.request(http.MethodPost, "hulo84.example", "/xapu221/ny95/2f", "", strings.NewReader("{}"), 1200*time.Millisecond)
+		})
+	}
+	time.Sleep(2 * time.Second)
+	poison := map[string]bool{}
+	var poisonMu sync.Mutex
+	callers := all[:6]
+	for i := 0; time.Duration(i)*comingGap < poisonTime; i++ {
+		c := callers[i%len(callers)]
+		c.work.Add(1)
+		go func() {
+			defer c.work.Done()
+			k := c.request(http.MethodPost, "hulo84.example", poisonPath, "", strings.NewReader("{}"), 1200*time.Millisecond)
+			poisonMu.Lock()
+			poison[k.id] = true
+			poisonMu.Unlock()
+		}()
+		time.Sleep(comingGap)
+	}
+	done.Store(true)
+	time.Sleep(2 * time.Second)
+	return checkPoison(f, crashes, all, poison), nil
+}
+
+// crash ends the run at once and starts another one after a while.
+func (s *appServer) crash(crashes *crashLog) {
+	crashes.mu.Lock()
+	defer crashes.mu.Unlock()
+	if time.Since(time.UnixMilli(s.born)) < crashAfter {
+		// The run that got the request has crashed already.
+		return
+	}
+	crashes.times = append(crashes.times, s.rec.now())
+	s.exit()
+	// No later crash falls into the time in which the server is away.
+	s.born = time.Now().Add(serverBack).UnixMilli()
+	time.AfterFunc(serverBack, s.startAgain)
+}
+
+func (s *appServer) startAgain() {
+	if err := s.start(s.instance + "n"); err != nil {
+		s.rec.add("server "+s.machine, "can't start again: %v", err)
+	}
+}
+
+func checkPoison(f *fleet, crashes *crashLog, all []*clients, poison map[string]bool) verdict {
+	crashes.mu.Lock()
+	times := crashes.times
+	crashes.mu.Unlock()
+	v := verdict{}
+	sent := map[string]*call{}
+	comings := 0
+	for _, c := range all {
+		c.mu.Lock()
+		for _, k := range c.calls {
+			sent[k.id] = k
+			f.rec.lineAt(k.ended, "client at %s: %s crashes=%t sent %.4f answered %d %s", k.machine, k.id, poison[k.id], k.sent.Seconds(), k.status, k.failure)
+			if poison[k.id] {
+				comings++
+			}
+		}
+		c.mu.Unlock()
+	}
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	late, cut := 0, 0
+	for _, a := range f.ledger.arrivals {
+		f.rec.lineAt(a.at, "server %s: request %s %s reaches %s, ran=%t %s", a.machine, a.id, a.path, a.instance, a.ran, a.ended)
+		k := sent[a.id]
+		if k == nil || a.misdirected {
+			continue
+		}
+		if a.path != poisonPath {
+			if a.ended == "cut" && k.status/100 != 2 {
+				cut++
+			}
+			continue
+		}
+		if len(times) >= 3 && k.sent > times[2]+stability {
+			late++
+		}
+	}
+	v.broken = late > 3
+	var at []string
+	for _, t := range times {
+		at = append(at, fmt.Sprintf("%.2f", t.Seconds()))
+	}
+	v.lines = append(v.lines,
+		fmt.Sprintf("the request came %d times and crashed %d servers, at %s s", comings, len(times), strings.Join(at, ", ")),
+		fmt.Sprintf("of its comings later than %v after the third crash, those that reached a server: %d; allowed 3", stability, late),
+		fmt.Sprintf("other non-idempotent requests that were cut with their server and got no success: %d", cut))
+	return v
+}
