--- a/review/standin-2/leaving.go
+++ b/review/standin-2/leaving.go
@@ -31,18 +31,8 @@
 	f.publish(7,
 		route("r-entry", "hulo84.example", "/xapu221/ny95/", "non_idempotent", "cert-ledger", 1200*time.Millisecond),
 		serviceEntry("cert-ledger"), limitsEntry())
-	for i, m := range f.machines {
-		if err := m.server.start(fmt.Sprintf("i-%d", i)); err != nil {
-			return verdict{}, err
-		}
-		if err := m.startNode(); err != nil {
-			return verdict{}, err
-		}
-	}
-	for _, m := range f.machines {
-		if !m.awaitReady(10 * time.Second) {
-			return verdict{}, errors.New("a node did not become ready")
-		}
+	if err := f.startAll(); err != nil {
+		return verdict{}, err
 	}
 	time.Sleep(2 * time.Second)
 	m := f.machines[0]
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -57,18 +56,8 @@
 	f.publish(7,
 		route("r-entry", "hulo84.example", "/xapu221/ny95/", "non_idempotent", services[0], 1200*time.Millisecond),
 		serviceEntry(services[0]), serviceEntry(services[1]), serviceEntry(services[2]), limitsEntry())
-	for i, m := range f.machines {
-		if err := m.server.start(fmt.Sprintf("i-%d", i)); err != nil {
-			return verdict{}, err
-		}
-		if err := m.startNode(); err != nil {
-			return verdict{}, err
-		}
-	}
-	for _, m := range f.machines {
-		if !m.awaitReady(10 * time.Second) {
-			return verdict{}, errors.New("a node did not become ready")
-		}
+	if err := f.startAll(); err != nil {
+		return verdict{}, err
 	}
 	time.Sleep(3 * time.Second)
 	var done atomic.Bool
