--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 	"leaving": playLeaving,
 	"stop":    playStop,
 	"poison":  playPoison,
+	"queries": playPoisonWithQueries,
 }
 
 func main() {
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -15,21 +15,36 @@
 	// crashAfter is how long a server works on it before it crashes, and serverBack how long it is away then.
 	crashAfter = 900 * time.Millisecond
 	serverBack = 3 * time.Second
-	// comingGap is the time between two comings of the request, in turn at the machines of its caller.
-	comingGap = 250 * time.Millisecond
-	// poisonTime is how long the request comes again.
-	poisonTime = 75 * time.Second
 )
 
+// comings is how a request that crashes servers comes again.
+type comings struct {
+	// gap is the time between two comings, in turn at the machines of the request's caller, and lasting how long it comes.
+	gap, lasting time.Duration
+	// ownQueries gives each coming a query of its own.
+	ownQueries bool
+	// others is the rate of other requests at each machine, in requests per second.
+	others float64
+}
+
+// playPoison lets the request come four times a second, longer than the nodes refuse it.
+func playPoison(f *fleet, trouble bool) (verdict, error) {
+	return playComings(f, trouble, comings{gap: 250 * time.Millisecond, lasting: 75 * time.Second, others: 4})
+}
+
+// playPoisonWithQueries lets the request come once a second, with another query each time.
+func playPoisonWithQueries(f *fleet, trouble bool) (verdict, error) {
+	return playComings(f, trouble, comings{gap: time.Second, lasting: 30 * time.Second, ownQueries: true, others: 20})
+}
+
 // crashLog holds the times at which the request crashed servers.
 type crashLog struct {
 	mu    sync.Mutex
 	times []time.Duration
 }
 
-// playPoison lets a request that crashes servers come again and again, in turn at the machines of its caller. Without
-// trouble, the same request crashes no server.
-func playPoison(f *fleet, trouble bool) (verdict, error) {
+// playComings lets a request that crashes servers come again and again. Without trouble, the same request crashes no server.
+func playComings(f *fleet, trouble bool, how comings) (verdict, error) {
 	crashes := &crashLog{}
 	services := []string{"cert-ledger", "roster-reader", "evidence-vault"}
 	zones := []string{"amman-a", "irbid-a", "aqaba-a", "amman-b", "irbid-b", "aqaba-b"}
@@ -65,7 +80,7 @@
 	for _, m := range f.machines[6:] {
 		c := newClients(m)
 		all = append(all, c)
-		go c.offer(4, done.Load, func() {
+		go c.offer(how.others, done.Load, func() {
 			c.request(http.MethodPost, "hulo84.example", "/xapu221/ny95/2f", "", strings.NewReader("{}"), 1200*time.Millisecond)
 		})
 	}
@@ -73,17 +88,21 @@
 	poison := map[string]bool{}
 	var poisonMu sync.Mutex
 	callers := all[:6]
-	for i := 0; time.Duration(i)*comingGap < poisonTime; i++ {
+	for i := 0; time.Duration(i)*how.gap < how.lasting; i++ {
 		c := callers[i%len(callers)]
+		path := poisonPath
+		if how.ownQueries {
+			path = fmt.Sprintf("%s?n=%d", poisonPath, i)
+		}
 		c.work.Add(1)
 		go func() {
 			defer c.work.Done()
-			k := c.request(http.MethodPost, "hulo84.example", poisonPath, "", strings.NewReader("{}"), 1200*time.Millisecond)
+			k := c.request(http.MethodPost, "hulo84.example", path, "", strings.NewReader("{}"), 1200*time.Millisecond)
 			poisonMu.Lock()
 			poison[k.id] = true
 			poisonMu.Unlock()
 		}()
-		time.Sleep(comingGap)
+		time.Sleep(how.gap)
 	}
 	done.Store(true)
 	time.Sleep(2 * time.Second)
--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -21,18 +21,18 @@
 	storeTrouble = 4500 * time.Millisecond
 )
 
-// playQuota adds four machines to a fleet of fourteen while the store does some writes without answering them: the two
+// playQuota adds five machines to a fleet of seventeen while the store does some writes without answering them: the two
 // first of the last machine that joins. All clients belong to one tenant, which asks for more than its quota.
 func playQuota(f *fleet, trouble bool) (verdict, error) {
 	f.bounds["quotaWindow"], f.bounds["quotaOverage"], f.bounds["quotaSlack"] = "5s", "0.1", "20"
 	work := func(*http.Request) time.Duration { return 5 * time.Millisecond }
 	zones := []string{"hue-a", "hue-b"}
-	for i := range 18 {
+	for i := range 22 {
 		if _, err := f.add(fmt.Sprintf("m%d", i), "preview-engine", zones[i%2], "hue", 12, work); err != nil {
 			return verdict{}, err
 		}
 	}
-	base, joiners := f.machines[:14], f.machines[14:]
+	base, joiners := f.machines[:17], f.machines[17:]
 	last := joiners[len(joiners)-1]
 	var losing atomic.Bool
 	var lost atomic.Int64
